Rename to pearloom and put the first real softswitch round the module

The package is renamed; settings.py is now the one reader of settings for both hosts, and wirehost.py uses it. pearloom/net holds the real softswitch: codecs for the callers' binary messages and for SIP, the exchange between both sides, the coordinator's stream, the clock, counters and logs.

--- /dev/null
+++ b/pearloom/net/config.py
@@ -0,0 +1,114 @@
+"""What a softswitch is told at its start: BALANCER_* and the JSON file."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from pearloom import interface as api
+from pearloom.settings import flatten, read_settings
+
+Address = tuple[str, int]
+_STATES = {
+    "in_service": api.PoolState.READY,
+    "terminating": api.PoolState.DRAINING,
+    "terminated": api.PoolState.GONE,
+}
+
+
+class ConfigError(ValueError):
+    """The softswitch was told something that it cannot work with."""
+
+
+@dataclass(frozen=True, slots=True)
+class Server:
+    """One line of the pool list on this network: the module's entry and where to dial it."""
+
+    entry: api.PoolEntry
+    address: Address
+
+
+@dataclass(frozen=True, slots=True)
+class ListUpdate:
+    """One numbered event of the coordinator."""
+
+    index: int
+    whole: bool
+    servers: tuple[Server, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    """Everything told at the start."""
+
+    name: str
+    listen: Address
+    seed: int
+    coordinator: Address
+    known_index: int
+    known: tuple[ListUpdate, ...]
+    settings: api.Settings
+    class_names: tuple[str, ...]
+    dial_timeout_ms: float
+    round_ms: float
+    descriptors: int
+
+
+def read_address(text: str) -> Address:
+    """`host:port` with a numeric port."""
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdigit() or not 0 <= int(port) < 65536:
+        raise ConfigError(f"{text!r} is not an address with a port")
+    return host, int(port)
+
+
+def read_update(update: Mapping[str, Any]) -> ListUpdate:
+    """One event of `known`."""
+    listed = update["endpoints"]
+    servers = tuple(
+        Server(
+            api.PoolEntry(
+                str(host["host"]),
+                int(host.get("block", 0)),
+                _STATES[host["health"]],
+                int(host.get("born_ms", 0)) * 1000,
+            ),
+            read_address(host["dial"]),
+        )
+        for host in listed["hosts"]
+    )
+    return ListUpdate(int(update["index"]), bool(listed["whole"]), servers)
+
+
+def read_config(environment: Mapping[str, str]) -> Config:
+    """Read the environment and the file it names; a ConfigError says in one line what is unusable."""
+    path = environment.get("BALANCER_CONFIG", "")
+    if not path:
+        raise ConfigError("BALANCER_CONFIG is not set")
+    try:
+        told = json.loads(Path(path).read_text(encoding="utf-8"))
+        params = flatten(told["settings"])
+        known = told.get("known") or {}
+        updates = tuple(read_update(update) for update in known.get("updates", ()))
+        return Config(
+            name=environment.get("BALANCER_NAME") or str(told["name"]),
+            listen=read_address(environment.get("BALANCER_LISTEN") or told["listen"]),
+            seed=int(str(told["seed"]), 16),
+            coordinator=read_address(told["coordinator"]),
+            known_index=int(known.get("index", updates[-1].index if updates else 0)),
+            known=updates,
+            settings=read_settings(params),
+            class_names=tuple(str(service["name"]) for service in told["settings"]["services"]),
+            dial_timeout_ms=float(params.get("limits.dialTimeoutUs", 500_000)) / 1000.0,
+            round_ms=max(float(params.get("roundUs", 1000)) / 1000.0, 1.0),
+            descriptors=int(told.get("limits", {}).get("sockets", 1024)),
+        )
+    except ConfigError:
+        raise
+    except KeyError as missing:
+        raise ConfigError(f"{path}: {missing} is missing or unknown") from missing
+    except (OSError, ValueError, TypeError, AttributeError) as trouble:
+        raise ConfigError(f"{path}: {trouble}") from trouble
--- /dev/null
+++ b/pearloom/net/connection.py
@@ -0,0 +1,133 @@
+"""One TCP connection: a greenlet that reads, one that writes, and a bounded queue between."""
+
+from __future__ import annotations
+
+import socket as plain_socket
+from collections import deque
+from collections.abc import Callable
+
+import gevent
+from gevent import socket
+from gevent.event import Event
+
+from pearloom.net.errors import Progress
+from pearloom.net.logs import crashed
+
+READ_BYTES = 64 * 1024
+MOST_QUEUED = 512 * 1024  # bytes: what a reader may be behind before it is cut off
+WRITE_S = 2.0  # a peer that takes nothing for this long is as good as gone
+
+
+class Letter:
+    """Bytes to be written; knows how far they have come."""
+
+    __slots__ = ("call", "data", "progress", "withdrawn")
+
+    def __init__(self, data: bytes, call: str = "") -> None:
+        """A message that concerns `call`, if any."""
+        self.data = data
+        self.call = call
+        self.progress = Progress.NOT_DIALLED
+        self.withdrawn = False
+
+
+class Connection:
+    """Owns a connected socket until either side ends it; exceptions stop here."""
+
+    def __init__(
+        self,
+        sock: socket.socket,
+        on_data: Callable[[bytes], None],
+        on_end: Callable[[], None],
+        on_close: Callable[[str, list[Letter]], None],
+    ) -> None:
+        """`on_end`: the peer sends no more. `on_close`: all is over; what was not written comes with it."""
+        sock.setsockopt(plain_socket.IPPROTO_TCP, plain_socket.TCP_NODELAY, 1)
+        self._sock = sock
+        self._on_data, self._on_end, self._on_close = on_data, on_end, on_close
+        self._queue: deque[Letter] = deque()
+        self._queued = 0
+        self._ready = Event()
+        self._finishing = False
+        self.closed = False
+
+    def start(self) -> None:
+        """Begin to read and write."""
+        gevent.spawn(self._read)
+        gevent.spawn(self._write)
+
+    def send(self, letter: Letter) -> None:
+        """Queue a letter; a peer that is too far behind is cut off instead."""
+        self._queue.append(letter)
+        self._queued += len(letter.data)
+        if self._queued > MOST_QUEUED:
+            # Guards against a slow reader that fills the memory.
+            self.close("reader too slow")
+        self._ready.set()
+
+    def finish(self) -> None:
+        """Close once all that is queued has been written."""
+        self._finishing = True
+        self._ready.set()
+
+    def close(self, reason: str) -> None:
+        """Close now."""
+        if self.closed:
+            return
+        self.closed = True
+        self._sock.close()
+        self._ready.set()
+        unsent = [letter for letter in self._queue if not letter.withdrawn]
+        self._queue.clear()
+        try:
+            self._on_close(reason, unsent)
+        except Exception:
+            crashed("connection_close_failed")
+
+    def _read(self) -> None:
+        try:
+            while not self.closed:
+                data = self._sock.recv(READ_BYTES)
+                if not data:
+                    self._on_end()
+                    return
+                self._on_data(data)
+        except OSError as trouble:
+            self.close(_reason(trouble))
+        except Exception:
+            crashed("connection_failed")
+            self.close("failed here")
+
+    def _write(self) -> None:
+        try:
+            while not self.closed:
+                if not self._queue:
+                    if self._finishing:
+                        self.close("done")
+                        return
+                    self._ready.clear()
+                    self._ready.wait()
+                    continue
+                letter = self._queue[0]
+                if not letter.withdrawn:
+                    self._send_whole(letter)
+                if not self.closed:
+                    self._queue.popleft()
+                    self._queued -= len(letter.data)
+        except OSError as trouble:
+            self.close(_reason(trouble))
+        except Exception:
+            crashed("connection_failed")
+            self.close("failed here")
+
+    def _send_whole(self, letter: Letter) -> None:
+        letter.progress = Progress.PARTLY_SENT
+        rest = memoryview(letter.data)
+        with gevent.Timeout(WRITE_S, TimeoutError("write timed out")):
+            while rest:
+                rest = rest[self._sock.send(rest) :]
+        letter.progress = Progress.SENT
+
+
+def _reason(trouble: OSError) -> str:
+    return type(trouble).__name__ if trouble.errno is None else f"errno {trouble.errno}"
--- /dev/null
+++ b/pearloom/net/coordinator.py
@@ -0,0 +1,146 @@
+"""The coordinator's stream of changes to the pool list.
+
+    frame  = length:4 number:8 kind:1 payload      length counts all that follows it
+    record = id:4 address:4 port:2 state:1 zone:1 kind:1 cell:2 weight:4 started:8
+"""
+
+from __future__ import annotations
+
+import logging
+import struct
+from dataclasses import dataclass
+from ipaddress import IPv4Address
+
+import gevent
+from gevent import socket
+
+from pearloom import interface as api
+from pearloom.net.config import Address, ListUpdate, Server
+from pearloom.net.counters import Counters
+from pearloom.net.errors import Malformed
+from pearloom.net.exchange import Exchange
+from pearloom.net.logs import crashed, note
+
+DIAL_S = 1.0
+SILENT_S = 2.5  # an empty frame comes each second; after this the connection is dead
+REDIAL_S = 0.1
+MOST_BYTES = 1 << 20
+_FRAME = struct.Struct(">IQB")
+_LENGTH_BYTES = 4
+_RECORD = struct.Struct(">IIHBBBHIQ")
+_NOTHING, _WHOLE, _CHANGES = 0, 1, 2
+_STATES = (api.PoolState.READY, api.PoolState.DRAINING, api.PoolState.GONE)
+
+
+@dataclass(frozen=True, slots=True)
+class Nothing:
+    """Nothing new."""
+
+
+class Decoder:
+    """Cuts the stream into events, however the bytes are split over reads."""
+
+    def __init__(self) -> None:
+        """Start between two frames."""
+        self._buffer = bytearray()
+
+    def feed(self, data: bytes) -> list[ListUpdate | Nothing | Malformed]:
+        """Take bytes and return what they complete; nothing follows a fatal value."""
+        self._buffer += data
+        found: list[ListUpdate | Nothing | Malformed] = []
+        while len(self._buffer) >= _LENGTH_BYTES:
+            length = int.from_bytes(self._buffer[:_LENGTH_BYTES], "big")
+            if not _FRAME.size - _LENGTH_BYTES <= length <= MOST_BYTES:
+                found.append(Malformed(f"frame length {length}", fatal=True))
+                break
+            end = _LENGTH_BYTES + length
+            if len(self._buffer) < end:
+                break
+            found.append(_update(bytes(self._buffer[:end])))
+            del self._buffer[:end]
+        return found
+
+
+def _update(frame: bytes) -> ListUpdate | Nothing | Malformed:
+    _, number, kind = _FRAME.unpack_from(frame)
+    if kind == _NOTHING:
+        return Nothing()
+    records = frame[_FRAME.size :]
+    if kind not in (_WHOLE, _CHANGES):
+        return Malformed(f"frame kind {kind}", fatal=False)
+    if len(records) % _RECORD.size:
+        return Malformed(f"event {number} has {len(records)} bytes of records", fatal=True)
+    servers = []
+    for host, address, port, state, _, _, cell, _, started in _RECORD.iter_unpack(records):
+        if state >= len(_STATES):
+            return Malformed(f"event {number} has a server in state {state}", fatal=True)
+        entry = api.PoolEntry(f"s-{host:08x}", cell, _STATES[state], started * 1000)
+        servers.append(Server(entry, (str(IPv4Address(address)), port)))
+    return ListUpdate(number, kind == _WHOLE, tuple(servers))
+
+
+def cached(updates: tuple[ListUpdate, ...]) -> tuple[Server, ...]:
+    """The list that the known events add up to."""
+    servers: dict[str, Server] = {}
+    for update in updates:
+        if update.whole:
+            servers.clear()
+        for server in update.servers:
+            servers[server.entry.server] = server
+    return tuple(server for server in servers.values() if server.entry.state is not api.PoolState.GONE)
+
+
+class Coordinator:
+    """Follows the stream, over as many connections as it takes."""
+
+    def __init__(self, address: Address, index: int, exchange: Exchange, counters: Counters) -> None:
+        """Follow from event `index` on."""
+        self._address = address
+        self._index = index
+        self._exchange = exchange
+        self._counters = counters
+
+    def start(self) -> None:
+        """Follow from now on."""
+        gevent.spawn(self._follow)
+
+    def _follow(self) -> None:
+        while True:
+            try:
+                self._connection()
+            except OSError as trouble:
+                note(logging.WARNING, "coordinator_lost", index=self._index, reason=str(trouble))
+            except Exception:
+                crashed("coordinator_failed", index=self._index)
+            gevent.sleep(REDIAL_S)
+
+    def _connection(self) -> None:
+        """One connection, until it ends; guards against one that stays open and brings nothing more."""
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            sock.settimeout(DIAL_S)
+            sock.connect(self._address)
+            sock.sendall(self._index.to_bytes(8, "big"))
+            sock.settimeout(SILENT_S)
+            decoder = Decoder()
+            while True:
+                data = sock.recv(64 * 1024)
+                if not data:
+                    raise ConnectionError("closed")
+                for update in decoder.feed(data):
+                    self._take(update)
+        finally:
+            sock.close()
+
+    def _take(self, update: ListUpdate | Nothing | Malformed) -> None:
+        if isinstance(update, Malformed):
+            note(logging.WARNING, "coordinator_malformed", reason=update.reason)
+            if update.fatal:
+                raise ConnectionError("malformed")
+        elif isinstance(update, ListUpdate) and update.index > self._index:
+            self._index = update.index
+            self._counters.add("list_events_in")
+            states = ",".join(f"{one.entry.server}:{one.entry.state.value}" for one in update.servers)
+            note(logging.INFO, "list", index=update.index, whole=update.whole, servers=states)
+            kind = api.ListKind.COMPLETE if update.whole else api.ListKind.CHANGES
+            self._exchange.told(kind, update.servers)
--- /dev/null
+++ b/pearloom/net/exchange.py
@@ -0,0 +1,404 @@
+"""The only meeting place of callers and session servers: calls, attempts, timers, and the controller.
+
+It knows no protocol and no socket. Either side calls it with what happened and is called with what to do;
+every choice is the decision module's. Nothing here blocks.
+"""
+
+from __future__ import annotations
+
+import heapq
+import logging
+from collections import OrderedDict, deque
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, replace
+from typing import Protocol
+
+from pearloom import interface as api
+from pearloom.interface import Ending
+from pearloom.net.clock import Clock
+from pearloom.net.config import Server
+from pearloom.net.counters import Counters
+from pearloom.net.errors import AttemptError, Progress
+from pearloom.net.logs import crashed, note
+from pearloom.policy import Controller
+
+# Q.850 causes, the words in which all telephone protocols say why a call is over.
+CAUSE_NORMAL = 16
+CAUSE_CUT = 41
+REMEMBERED = 20_000  # calls of this life that are over
+# Added to the module's wait after doubt: a release reaches a far server later than the next set-up reaches a
+# near one, so the wait must hold at the servers too.
+RELEASE_MARGIN_US = 60_000
+
+
+@dataclass(frozen=True, slots=True)
+class Offer:
+    """A set-up as a caller brought it."""
+
+    call: str
+    kind: int
+    class_name: str
+    number: str
+    description: bytes
+    patience_ms: float
+    first_choice: int
+    was_cut: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class SetUp:
+    """One attempt to be sent; the offer goes on unchanged."""
+
+    offer: Offer
+    attempt: int
+    ring_ms: float
+
+
+class Caller(Protocol):
+    """Whoever brought a call and is owed its one final answer."""
+
+    def stands(self, call: str, description: bytes) -> None:
+        """The call stands; pass the server's description on."""
+
+    def refused(self, call: str, stay_away_ms: float) -> None:
+        """Turned away: trying again is harmless, after that time if it is above 0."""
+
+    def failed(self, call: str) -> None:
+        """Given up."""
+
+
+class CallerSide(Protocol):
+    """All callers."""
+
+    def release(self, call: str, cause: int, caller: Caller | None) -> None:
+        """A call that stood is over; any caller may be told, best the one that brought it."""
+
+
+class ServerSide(Protocol):
+    """All session servers."""
+
+    def listed(self, servers: Sequence[Server], whole: bool) -> None:
+        """The pool list changed."""
+
+    def withdraw_unsent(self) -> None:
+        """End every attempt that has not left yet for a server that may get no new set-up."""
+
+    def set_up(self, server: str, set_up: SetUp) -> None:
+        """Send an attempt; its end or answer comes back to the exchange."""
+
+    def give_up(self, server: str, call: str) -> Progress:
+        """End the attempt that is out; nothing more comes of it. Returns how far it had come."""
+
+    def release(self, server: str | None, call: str, number: str, cause: int) -> None:
+        """Release a standing call; None where only a session server can know it."""
+
+
+@dataclass(slots=True)
+class Call:
+    """One call of this life, from its set-up until it is over."""
+
+    offer: Offer
+    caller: Caller
+    attempts: int = 0
+    current: int = -1
+    server: str = ""
+    sent_ms: float = 0.0
+    stood_ms: float = 0.0
+    answered: bool = False  # the final answer was given, or none is owed
+    stands: bool = False
+
+
+class Exchange:
+    """Hosts one controller; turns what happens into its events and its actions into deeds."""
+
+    def __init__(
+        self, clock: Clock, settings: api.Settings, seed: int, counters: Counters, round_ms: float
+    ) -> None:
+        """Start with no call and no list."""
+        settings = replace(settings, release_us=settings.release_us + RELEASE_MARGIN_US)
+        self._clock = clock
+        self._counters = counters
+        # The module sees time in steps, as on the simulator's wire: it takes what happened in one step as
+        # one batch, and tells by that a dead processor from a single call that was cut.
+        self._round_ms = round_ms
+        self._controller = Controller(settings, seed)
+        self._module_us = 0
+        self._calls: dict[str, Call] = {}
+        self._standing: dict[str, dict[str, Call]] = {}
+        self._over: OrderedDict[str, None] = OrderedDict()
+        self._events: deque[api.Event] = deque()
+        self._telling = False
+        self._timers: list[tuple[float, int, Callable[[], None]]] = []
+        self._timer_count = 0
+        self._wake: Callable[[], None] = lambda: None
+        self._callers: CallerSide
+        self._servers: ServerSide
+
+    def attach(self, callers: CallerSide, servers: ServerSide, wake: Callable[[], None]) -> None:
+        """Join both sides; `wake` is called when the next timer comes sooner than it did."""
+        self._callers, self._servers, self._wake = callers, servers, wake
+
+    # --- what is here ---------------------------------------------------------------------------------------
+    @property
+    def open_calls(self) -> int:
+        """Calls that are owed an answer."""
+        return sum(not call.answered for call in self._calls.values())
+
+    @property
+    def standing_calls(self) -> int:
+        """Calls that stand."""
+        return sum(len(calls) for calls in self._standing.values())
+
+    def standing_at(self, server: str) -> int:
+        """Calls that stand at this server."""
+        return len(self._standing.get(server, ()))
+
+    def stands_at(self, server: str, call: str) -> bool:
+        """Does this call stand there?"""
+        return call in self._standing.get(server, ())
+
+    def is_open(self, call: str) -> bool:
+        """Is this call held here, unanswered or standing?"""
+        return call in self._calls
+
+    # --- from the callers -----------------------------------------------------------------------------------
+    def offered(self, offer: Offer, caller: Caller) -> None:
+        """A new set-up."""
+        self._counters.add("set_ups_in")
+        self._over.pop(offer.call, None)
+        self._calls[offer.call] = Call(offer, caller)
+        self._tell(
+            api.CallArrived(
+                call=offer.call,
+                kind=offer.kind,
+                tenant=-1,
+                patience_us=round(offer.patience_ms * 1000),
+                first_choice=offer.first_choice,
+                was_cut=offer.was_cut,
+                number=offer.number,
+            )
+        )
+
+    def left(self, name: str, cause: int) -> None:
+        """The caller gave its set-up up, or released its standing call, or can't be reached any more."""
+        call = self._calls.get(name)
+        if call is None:
+            if name not in self._over:
+                # A call that stood before a restart: only the servers can know where.
+                self._servers.release(None, name, "unknown", cause)
+                self._remember(name)
+        elif call.stands:
+            self._counters.add("released_by_caller")
+            self._servers.release(call.server, name, call.offer.number, cause)
+            self._ended(call, Ending.CANCELLED)
+        elif not call.answered:
+            self._counters.add("given_up_by_caller")
+            call.answered = True
+            self._tell(api.CallGone(name))
+            self._give_up(call, Ending.CANCELLED)
+            self._forget(call)
+
+    # --- from the session servers ---------------------------------------------------------------------------
+    def stands(self, name: str, attempt: int, description: bytes) -> bool:
+        """The attempt was answered; False where the call does not want it any more."""
+        call = self._calls.get(name)
+        if call is None or call.current != attempt or call.answered:
+            return False
+        now = self._clock.now_ms()
+        call.current, call.stands, call.answered, call.stood_ms = -1, True, True, now
+        self._standing.setdefault(call.server, {})[name] = call
+        self._counters.add("answers_out")
+        # The module hears of it first: a caller that can't be told any more ends the call at once.
+        self._tell(api.CallStands(name, attempt, call.server, round((now - call.sent_ms) * 1000)))
+        call.caller.stands(name, description)
+        return True
+
+    def attempt_ended(self, name: str, attempt: int, error: AttemptError) -> None:
+        """The attempt ended without an answer."""
+        call = self._calls.get(name)
+        if call is not None and call.current == attempt:
+            self._settle(call, error.proves(), error)
+
+    def released(self, server: str, name: str, cause: int) -> None:
+        """A session server released a call."""
+        call = self._calls.get(name)
+        if call is not None and call.stands and call.server == server:
+            self._counters.add("released_by_server")
+            self._ended(call, Ending.ENDED if cause == CAUSE_NORMAL else Ending.RESET)
+            self._callers.release(name, cause, call.caller)
+        elif call is None and name not in self._over:
+            # Guards against a standing call that a restart of this process forgot: its caller still waits.
+            self._counters.add("released_unknown")
+            self._remember(name)
+            self._callers.release(name, cause, None)
+
+    def server_lost(self, server: str, before_ms: float, reason: str) -> None:
+        """A server is dead, or silent for too long: what stood there before that time is cut."""
+        cut = [call for call in self._standing.get(server, {}).values() if call.stood_ms < before_ms]
+        if not cut:
+            return
+        note(logging.WARNING, "server_lost", server=server, reason=reason, calls_cut=len(cut))
+        for call in cut:
+            self._counters.add("cut_with_server")
+            self._callers.release(call.offer.call, CAUSE_CUT, call.caller)
+            self._ended(call, Ending.RESET)
+
+    # --- from the coordinator -------------------------------------------------------------------------------
+    def told(self, kind: api.ListKind, servers: Sequence[Server]) -> None:
+        """The pool list, or changes to it."""
+        self._servers.listed(servers, whole=kind is not api.ListKind.CHANGES)
+        self._tell(api.PoolList(kind, tuple(server.entry for server in servers)))
+        # Guards against a set-up that is queued or half dialled when its server drains. The module knows the
+        # new list by now, so none of these goes back there.
+        self._servers.withdraw_unsent()
+
+    # --- timers ---------------------------------------------------------------------------------------------
+    def after_ms(self, delay_ms: float, deed: Callable[[], None]) -> None:
+        """Do something later."""
+        self._at_ms(self._clock.now_ms() + delay_ms, deed)
+
+    def _at_ms(self, due_ms: float, deed: Callable[[], None]) -> None:
+        self._timer_count += 1
+        first = not self._timers or due_ms < self._timers[0][0]
+        heapq.heappush(self._timers, (due_ms, self._timer_count, deed))
+        if first:
+            self._wake()
+
+    def run_due(self) -> float | None:
+        """Do what is due and return how long the next timer has, in milliseconds."""
+        while self._timers:
+            left = self._timers[0][0] - self._clock.now_ms()
+            if left > 0:
+                return left
+            try:
+                heapq.heappop(self._timers)[2]()
+            except Exception:
+                crashed("timer_failed")
+        return None
+
+    # --- the controller -------------------------------------------------------------------------------------
+    def _step_us(self) -> int:
+        step = self._clock.now_ms() // self._round_ms * self._round_ms
+        self._module_us = max(self._module_us, round(step * 1000))
+        return self._module_us
+
+    def _tell(self, event: api.Event) -> None:
+        """Hand the controller an event; what its actions bring about follows in turn, never inside."""
+        self._events.append(event)
+        if self._telling:
+            return
+        self._telling = True
+        try:
+            while self._events:
+                self._decide(self._events.popleft())
+        finally:
+            self._telling = False
+
+    def _decide(self, event: api.Event) -> None:
+        try:
+            actions = self._controller.handle(self._step_us(), event)
+        except Exception:
+            # Guards against one call that the module chokes on: it is answered, and the others go on.
+            crashed("decision_failed", what=type(event).__name__)
+            actions = [api.Fail(event.call)] if isinstance(event, api.CallArrived) else []
+        for action in actions:
+            self._act(action)
+
+    def _act(self, action: api.Action) -> None:
+        match action:
+            case api.SendSetUp(name, server, timeout_us):
+                self._send(name, server, timeout_us)
+            case api.SetTimer(after_us, token):
+                due_us = self._module_us + after_us
+                # Guards against a timer that comes early for the module, which sees time in steps.
+                steps = -(-due_us // round(self._round_ms * 1000))
+                self._at_ms(steps * self._round_ms, lambda: self._tell(api.TimerDue(token)))
+            case api.Refuse(name, wait_us):
+                self._answer(name, "refusals_out", lambda caller: caller.refused(name, wait_us / 1000.0))
+            case api.Fail(name):
+                self._answer(name, "failures_out", lambda caller: caller.failed(name))
+            case api.CancelAttempt(name, attempt):
+                call = self._calls.get(name)
+                if call is not None and call.current == attempt:
+                    self._give_up(call, Ending.CANCELLED)
+            case api.Note(text):
+                note(logging.INFO, "decision_note", text=text)
+            case _:
+                # Probes, messages to peers and list requests have no place on this network.
+                note(logging.WARNING, "action_skipped", action=type(action).__name__)
+
+    def _send(self, name: str, server: str, timeout_us: int) -> None:
+        call = self._calls[name]
+        attempt = call.attempts
+        call.attempts += 1
+        call.current, call.server, call.sent_ms = attempt, server, self._clock.now_ms()
+        timeout_ms = timeout_us / 1000.0
+        self._counters.add("attempts")
+        self.after_ms(timeout_ms, lambda: self._time_out(call, attempt))
+        self._servers.set_up(server, SetUp(call.offer, attempt, timeout_ms))
+
+    def _time_out(self, call: Call, attempt: int) -> None:
+        if call.current == attempt:
+            self._give_up(call, Ending.TIMED_OUT)
+
+    def _answer(self, name: str, counter: str, say: Callable[[Caller], None]) -> None:
+        call = self._calls.get(name)
+        # Guards against a second final answer, and one after the caller gave up.
+        if call is None or call.answered:
+            return
+        call.answered = True
+        self._counters.add(counter)
+        say(call.caller)
+        self._forget(call)
+
+    # --- ends -----------------------------------------------------------------------------------------------
+    def _give_up(self, call: Call, ending: Ending) -> None:
+        if call.current < 0:
+            return
+        progress = self._servers.give_up(call.server, call.offer.call)
+        self._settle(call, ending if progress >= Progress.PARTLY_SENT else Ending.NOT_SENT)
+
+    def _settle(self, call: Call, ending: Ending, error: AttemptError | None = None) -> None:
+        """The one end of an attempt that did not stand."""
+        attempt, call.current = call.current, -1
+        self._counters.add(f"attempts_{ending.name.lower()}")
+        event = api.AttemptEnded(
+            call=call.offer.call,
+            attempt=attempt,
+            server=call.server,
+            ending=ending,
+            took_us=round((self._clock.now_ms() - call.sent_ms) * 1000),
+            call_over=call.answered,
+            processor_full=error is not None and error.processor_full,
+            no_line=error is not None and error.no_line,
+        )
+        self._forget(call)
+        self._tell(event)
+
+    def _ended(self, call: Call, ending: Ending) -> None:
+        """A call that stood is over."""
+        name = call.offer.call
+        self._standing[call.server].pop(name, None)
+        call.stands = False
+        self._forget(call)
+        self._tell(
+            api.AttemptEnded(
+                call=name,
+                attempt=call.attempts - 1,
+                server=call.server,
+                ending=ending,
+                took_us=round((self._clock.now_ms() - call.sent_ms) * 1000),
+                call_over=True,
+            )
+        )
+
+    def _forget(self, call: Call) -> None:
+        if call.answered and not call.stands and call.current < 0:
+            self._calls.pop(call.offer.call, None)
+            self._remember(call.offer.call)
+
+    def _remember(self, name: str) -> None:
+        """Keep the id of a call that is over, so that a late release of it goes to nobody."""
+        self._over[name] = None
+        while len(self._over) > REMEMBERED:
+            self._over.popitem(last=False)
--- /dev/null
+++ b/pearloom/net/session_servers.py
@@ -0,0 +1,419 @@
+"""The client side: SIP connections to the session servers, and what their silence means."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Sequence
+
+import gevent
+from gevent import socket
+
+from pearloom.interface import Ending, PoolState
+from pearloom.net import sip
+from pearloom.net.clock import Clock
+from pearloom.net.config import Server
+from pearloom.net.connection import Connection, Letter
+from pearloom.net.counters import Counters
+from pearloom.net.errors import AttemptError, Malformed, Progress
+from pearloom.net.exchange import CAUSE_NORMAL, Exchange, SetUp
+from pearloom.net.logs import crashed, note
+
+WATCH_MS = 250.0  # how often connections are looked at
+QUIET_MS = 2500.0  # with calls standing, a server silent for so long gets a new connection
+DEAD_DIALS = 2  # dials in a row that never came up: with QUIET_MS, the machine is gone
+REDIAL_MS = 250.0  # pause between dials while calls stand at a server
+BYE_KEPT_MS = 5000.0  # a BYE whose connection ends within this time, unanswered, is sent again
+MOST_LINKS = 4  # connections to one server
+
+# How a refusal counts; any other status from 300 on is an error.
+_STATUS_ENDINGS = {
+    408: Ending.TIMED_OUT,
+    480: Ending.NOT_SENT,
+    487: Ending.CANCELLED,
+    503: Ending.FULL,
+    504: Ending.RESET,
+}
+
+
+def refusal(status: int, why: str) -> AttemptError:
+    """What a final answer from 300 on says."""
+    ending = _STATUS_ENDINGS.get(status, Ending.ERROR)
+    full = ending is Ending.FULL
+    return AttemptError(
+        Progress.ANSWERED,
+        f"{status} {why}".strip(),
+        ending,
+        processor_full=full and why == "acc",
+        no_line=full and why == "atb",
+    )
+
+
+class _SetUpLetter(Letter):
+    """An INVITE; on its way or waiting for its answer."""
+
+    __slots__ = ("link", "set_up")
+
+    def __init__(self, data: bytes, set_up: SetUp) -> None:
+        super().__init__(data, set_up.offer.call)
+        self.set_up = set_up
+        self.link: Link | None = None
+
+
+class Link:
+    """One connection to a session server."""
+
+    def __init__(self, trunk: Trunk, sock: socket.socket, now_ms: float) -> None:
+        """Take a connection that has come up."""
+        self._trunk = trunk
+        self._decoder = sip.Decoder()
+        self.heard_ms = now_ms
+        self.connection = Connection(sock, self._data, self._ended, self._closed)
+
+    def send(self, letter: Letter) -> None:
+        """Queue a message."""
+        self.connection.send(letter)
+
+    def _data(self, data: bytes) -> None:
+        for message in self._decoder.feed(data):
+            if isinstance(message, Malformed):
+                self._trunk.malformed(message)
+                if message.fatal:
+                    self.connection.close("malformed")
+            else:
+                self._trunk.message(self, message)
+
+    def _ended(self) -> None:
+        self.connection.close("closed by server")
+
+    def _closed(self, reason: str, unsent: list[Letter]) -> None:
+        self._trunk.link_closed(self, reason, unsent)
+
+
+class Trunk:
+    """All that concerns one session server, by its id."""
+
+    def __init__(self, side: SessionServers, server: Server) -> None:
+        """Know the server; not connected yet."""
+        self._side = side
+        self._exchange = side.exchange
+        self.name = server.entry.server
+        self.server = server
+        self._links: list[Link] = []
+        self._dialling = False
+        self._failed_dials = 0
+        self._waiting: list[Letter] = []
+        self._set_ups: dict[str, _SetUpLetter] = {}
+        self._byes: dict[str, tuple[Letter, float]] = {}
+        self._heard_ms = side.clock.now_ms()  # the last sign of life
+
+    @property
+    def ready(self) -> bool:
+        """May it get new set-ups?"""
+        return self.server.entry.state is PoolState.READY
+
+    # --- what the exchange asks for -------------------------------------------------------------------------
+    def set_up(self, set_up: SetUp) -> None:
+        """Send an INVITE."""
+        offer = set_up.offer
+        headers = {"X-Call-Class": offer.class_name, "X-Ring-Limit": str(max(int(set_up.ring_ms), 1))}
+        data = sip.encode_request(
+            "INVITE", offer.number, offer.call, set_up.attempt + 1, headers, offer.description
+        )
+        letter = _SetUpLetter(data, set_up)
+        self._set_ups[offer.call] = letter
+        self._send(letter)
+
+    def give_up(self, call: str) -> Progress:
+        """Forget an INVITE; if any of it has left, a CANCEL follows."""
+        letter = self._set_ups.pop(call, None)
+        if letter is None:
+            return Progress.NOT_DIALLED
+        if letter.progress < Progress.PARTLY_SENT:
+            letter.withdrawn = True
+        elif letter.link is not None:
+            self._side.counters.add("cancels_out")
+            offer, sequence = letter.set_up.offer, letter.set_up.attempt + 1
+            letter.link.send(Letter(sip.encode_request("CANCEL", offer.number, call, sequence, {})))
+        return letter.progress
+
+    def withdraw_unsent(self) -> None:
+        """End what has not begun to leave."""
+        for letter in [one for one in self._set_ups.values() if one.progress < Progress.PARTLY_SENT]:
+            letter.withdrawn = True
+            self._failed(letter, AttemptError(Progress.NOT_DIALLED, "server not ready"))
+
+    def release(self, call: str, number: str, cause: int) -> None:
+        """Send a BYE."""
+        self._side.counters.add("byes_out")
+        letter = Letter(
+            sip.encode_request("BYE", number, call, 2, {"Reason": f"Q.850;cause={cause}"}), call
+        )
+        now = self._side.clock.now_ms()
+        self._byes = {key: bye for key, bye in self._byes.items() if bye[1] > now - BYE_KEPT_MS}
+        self._byes[call] = (letter, now)
+        self._send(letter)
+
+    def update(self, server: Server) -> None:
+        """The list says something new of this server."""
+        before, self.server = self.server, server
+        if server.entry.started_us > before.entry.started_us:
+            # Guards against calls that stood on the process before this one, of which nothing will come.
+            self._exchange.server_lost(self.name, server.entry.started_us / 1000.0, "restarted")
+        if server.entry.state is PoolState.GONE:
+            self.watch()
+
+    # --- connections ----------------------------------------------------------------------------------------
+    def _send(self, letter: Letter) -> None:
+        if self._links:
+            if isinstance(letter, _SetUpLetter):
+                letter.link = self._links[-1]
+            self._links[-1].send(letter)
+        else:
+            self._waiting.append(letter)
+            self.dial()
+
+    def dial(self) -> None:
+        """Open a connection; what waits goes out on it."""
+        if not self._dialling:
+            self._dialling = True
+            gevent.spawn(self._dial)
+
+    def _dial(self) -> None:
+        self._side.counters.add("dials")
+        for letter in self._waiting:
+            letter.progress = Progress.CONNECTING
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.settimeout(self._side.dial_timeout_s)
+        try:
+            sock.connect(self.server.address)
+            sock.settimeout(None)
+            link = Link(self, sock, self._side.clock.now_ms())
+        except OSError as trouble:
+            sock.close()
+            self._dialling = False
+            self._dial_failed(isinstance(trouble, ConnectionRefusedError), str(trouble))
+            return
+        self._dialling = False
+        self._failed_dials = 0
+        self._heard_ms = self._side.clock.now_ms()
+        self._links.append(link)
+        link.connection.start()
+        waiting, self._waiting = self._waiting, []
+        for letter in waiting:
+            if not letter.withdrawn:
+                self._send(letter)
+        self._close_spare_links()
+
+    def _dial_failed(self, refused: bool, reason: str) -> None:
+        note(logging.INFO, "dial_failed", server=self.name, refused=refused, reason=reason)
+        self._failed_dials += 1
+        quiet = self._side.clock.now_ms() - self._heard_ms
+        waiting, self._waiting = self._waiting, []
+        for letter in waiting:
+            if isinstance(letter, _SetUpLetter):
+                if not letter.withdrawn:
+                    self._failed(letter, AttemptError(Progress.CONNECTING, reason))
+            else:
+                self._waiting.append(letter)
+        # A refused connection proves that the process is not there; one that never comes up may be a lost
+        # packet, so it takes two, and a silence.
+        if refused or (self._failed_dials >= DEAD_DIALS and quiet >= QUIET_MS):
+            self._lost("refused" if refused else "silent")
+        elif self._exchange.standing_at(self.name) or self._waiting:
+            self._side.exchange.after_ms(REDIAL_MS, self._redial)
+
+    def _redial(self) -> None:
+        if self._exchange.standing_at(self.name) or self._waiting:
+            self.dial()
+
+    def _lost(self, reason: str) -> None:
+        """The server is dead, cut off, or not the one that it was."""
+        self._waiting = [letter for letter in self._waiting if isinstance(letter, _SetUpLetter)]
+        self._byes.clear()
+        self._exchange.server_lost(self.name, self._side.clock.now_ms() + 1, reason)
+        for link in list(self._links):
+            link.connection.close(reason)
+
+    def _close_spare_links(self) -> None:
+        """Close all but the newest, as far as no set-up is open on them."""
+        used = {id(letter.link) for letter in self._set_ups.values()}
+        spare = [link for link in self._links[:-1] if id(link) not in used]
+        for link in spare or self._links[: -MOST_LINKS]:
+            link.connection.finish()
+
+    def link_closed(self, link: Link, reason: str, unsent: list[Letter]) -> None:
+        """A connection is over: so are the set-ups on it, but not the calls that stand."""
+        if link in self._links:
+            self._links.remove(link)
+        if reason != "done":
+            note(logging.INFO, "server_closed", server=self.name, reason=reason)
+        for set_up in [one for one in self._set_ups.values() if one.link is link]:
+            self._failed(set_up, AttemptError(set_up.progress, reason))
+        since = self._side.clock.now_ms() - BYE_KEPT_MS
+        again = [letter for letter, sent_ms in self._byes.values() if sent_ms >= since]
+        if self._links:
+            for letter in again:
+                self._send(letter)
+            return
+        self._waiting += [letter for letter in again if letter not in self._waiting]
+        if self._exchange.standing_at(self.name) or self._waiting:
+            if not self.ready and self._side.address_taken(self):
+                # Guards against taking the process that now has this address for the one that had the calls.
+                self._lost("replaced")
+            else:
+                self.dial()
+
+    def watch(self) -> None:
+        """Called now and then: has a server where calls stand fallen silent?"""
+        if not self._exchange.standing_at(self.name):
+            return
+        quiet = self._side.clock.now_ms() - self._heard_ms
+        if self.server.entry.state is PoolState.GONE:
+            heard = max((link.heard_ms for link in self._links), default=0.0)
+            if self._side.clock.now_ms() - heard >= QUIET_MS:
+                self._lost("gone")
+        elif quiet >= QUIET_MS:
+            # Guards against a machine that vanished: its connections stay open and say nothing, and only a
+            # new one, which never comes up, tells it from one whose processor hangs.
+            self.dial()
+
+    # --- messages -------------------------------------------------------------------------------------------
+    def malformed(self, message: Malformed) -> None:
+        """Something came that is no SIP."""
+        self._side.counters.add("malformed_from_servers")
+        why = {"reason": message.reason, "closed": message.fatal}
+        note(logging.WARNING, "server_malformed", server=self.name, **why)
+
+    def message(self, link: Link, message: sip.Request | sip.Response) -> None:
+        """Take one message."""
+        self._heard_ms = link.heard_ms = self._side.clock.now_ms()
+        call = sip.call_of(message)
+        if isinstance(message, sip.Request) and message.method == "OPTIONS":
+            link.send(Letter(sip.encode_response(message, 200, "OK")))
+        elif isinstance(message, sip.Request) and message.method == "NOTIFY":
+            self._side.counters.add("group_states_in")
+        elif call is None:
+            note(logging.WARNING, "server_no_call", server=self.name)
+        elif isinstance(message, sip.Response):
+            self._response(link, call, message)
+        elif message.method == "BYE":
+            link.send(Letter(sip.encode_response(message, 200, "OK")))
+            cause = sip.reason_cause(message)
+            self._released(call, CAUSE_NORMAL if cause is None else cause)
+        elif message.method != "ACK":
+            note(logging.WARNING, "server_unknown_method", server=self.name, method=message.method, call=call)
+
+    def _released(self, call: str, cause: int) -> None:
+        letter = self._set_ups.get(call)
+        if letter is not None:
+            self._failed(letter, AttemptError(Progress.ANSWERED, "released", Ending.RESET))
+        else:
+            self._exchange.released(self.name, call, cause)
+
+    def _response(self, link: Link, call: str, response: sip.Response) -> None:
+        if response.method == "BYE":
+            self._byes.pop(call, None)
+        if response.method != "INVITE" or response.status < 200:
+            return
+        letter = self._set_ups.get(call)
+        number = letter.set_up.offer.number if letter is not None else "unknown"
+        sequence = letter.set_up.attempt + 1 if letter is not None else 1
+        link.send(Letter(sip.encode_request("ACK", number, call, sequence, {})))
+        if response.status >= 300:
+            if letter is not None:
+                self._failed(letter, refusal(response.status, response.headers.get("x-why", "")))
+            return
+        if letter is not None:
+            del self._set_ups[call]
+            letter.progress = Progress.ANSWERED
+            if self._exchange.stands(call, letter.set_up.attempt, response.body):
+                return
+        if not self._exchange.stands_at(self.name, call):
+            # Guards against an answer that crossed a CANCEL: without a BYE the call would stand for nobody.
+            self.release(call, number, CAUSE_NORMAL)
+
+    def _failed(self, letter: _SetUpLetter, error: AttemptError) -> None:
+        if self._set_ups.get(letter.call) is letter:
+            del self._set_ups[letter.call]
+            self._exchange.attempt_ended(letter.call, letter.set_up.attempt, error)
+
+
+class SessionServers:
+    """All trunks; the exchange's server side."""
+
+    def __init__(self, exchange: Exchange, clock: Clock, counters: Counters, dial_timeout_ms: float) -> None:
+        """Know no server yet."""
+        self.exchange = exchange
+        self.clock = clock
+        self.counters = counters
+        self.dial_timeout_s = dial_timeout_ms / 1000.0
+        self._trunks: dict[str, Trunk] = {}
+
+    def start(self) -> None:
+        """Begin to watch."""
+        self._watch()
+
+    def _watch(self) -> None:
+        try:
+            for trunk in list(self._trunks.values()):
+                trunk.watch()
+        except Exception:
+            crashed("watch_failed")
+        self.exchange.after_ms(WATCH_MS, self._watch)
+
+    def address_taken(self, trunk: Trunk) -> bool:
+        """Is a ready server of another id listed at this trunk's address?"""
+        return any(
+            other.ready and other.server.address == trunk.server.address
+            for other in self._trunks.values()
+            if other is not trunk
+        )
+
+    # --- exchange.ServerSide
+    def listed(self, servers: Sequence[Server], whole: bool) -> None:
+        """Take the list over; each server that is new gets its connection at once."""
+        named = {server.entry.server for server in servers}
+        for server in servers:
+            trunk = self._trunks.get(server.entry.server)
+            if trunk is not None:
+                trunk.update(server)
+            elif server.entry.state is not PoolState.GONE:
+                trunk = self._trunks[server.entry.server] = Trunk(self, server)
+                # A server also tells on its next connection what became of calls of before a restart.
+                trunk.dial()
+        for trunk in list(self._trunks.values()) if whole else ():
+            if trunk.name not in named:
+                trunk.update(gone(trunk.server))
+
+    def withdraw_unsent(self) -> None:
+        """End what has not begun to leave for a server that is not ready."""
+        for trunk in list(self._trunks.values()):
+            if not trunk.ready:
+                trunk.withdraw_unsent()
+
+    def set_up(self, server: str, set_up: SetUp) -> None:
+        """Send an attempt."""
+        trunk = self._trunks.get(server)
+        if trunk is None or not trunk.ready:
+            # The last guard before a server that drains or is gone.
+            error = AttemptError(Progress.NOT_DIALLED, "server not ready")
+            self.exchange.attempt_ended(set_up.offer.call, set_up.attempt, error)
+        else:
+            trunk.set_up(set_up)
+
+    def give_up(self, server: str, call: str) -> Progress:
+        """End an attempt."""
+        trunk = self._trunks.get(server)
+        return Progress.NOT_DIALLED if trunk is None else trunk.give_up(call)
+
+    def release(self, server: str | None, call: str, number: str, cause: int) -> None:
+        """Release a call; where nobody knows its server, all are told."""
+        for trunk in list(self._trunks.values()):
+            if server in (None, trunk.name):
+                trunk.release(call, number, cause)
+
+
+def gone(server: Server) -> Server:
+    """The same server, gone."""
+    entry = server.entry
+    return Server(type(entry)(entry.server, entry.cell, PoolState.GONE, entry.started_us), server.address)
--- a/chalkwing/policy.py
+++ b/pearloom/policy.py
@@ -1,6 +1,6 @@
-"""Every decision of chalkwing: which call set-up goes to which central server (pool), and which is refused.
+"""Every decision of pearloom: which call set-up goes to which central server (pool), and which is refused.
 
-Interface: `chalkwing/interface.py`. Mechanism: "A stochastic control approach to overload control of a
+Interface: `pearloom/interface.py`. Mechanism: "A stochastic control approach to overload control of a
 computer controlled telephone switch" (CWI): the bang-bang entry gate of its section 3 on the count of waiting
 requests (2.4), blocked by slow answers and full buffers, its retrial flow folded into a slowly re-estimated
 arrival rate (3.2). Here each sender keeps one gate a pool. `docs/design.md` tells what was changed.
@@ -16,8 +16,8 @@
 from dataclasses import dataclass, field
 from random import Random
 
-from chalkwing import interface as api
-from chalkwing.interface import Ending, ListKind, PoolState
+from pearloom import interface as api
+from pearloom.interface import Ending, ListKind, PoolState
 
 # --- Tuned values -------------------------------------------------------------------------------------------
 RETUNE_US = 2_000_000  # us: the design's slow period; a handful of calls a second need about this long
--- /dev/null
+++ b/pearloom/settings.py
@@ -0,0 +1,90 @@
+"""The one reader of settings, for the simulator's adapter and for the real softswitch.
+
+The adapter is told `path=value` pairs, the real softswitch the same object as nested JSON: `flatten` turns
+the second form into the first, so that both hosts hand the module the same settings.
+"""
+
+from __future__ import annotations
+
+from pearloom import interface as api
+
+Params = dict[str, str]
+
+
+def flatten(settings: object, path: str = "") -> Params:
+    """Nested JSON as `path=value` pairs: lists of plain values are joined, others counted and numbered."""
+    params: Params = {}
+    if isinstance(settings, dict):
+        for name, value in settings.items():
+            params.update(flatten(value, f"{path}.{name}" if path else str(name)))
+    elif isinstance(settings, list) and any(isinstance(value, dict | list) for value in settings):
+        params[f"{path}.count"] = str(len(settings))
+        for number, value in enumerate(settings):
+            params.update(flatten(value, f"{path}.{number}"))
+    elif isinstance(settings, list):
+        params[path] = ",".join(_plain(value) for value in settings)
+    else:
+        params[path] = _plain(settings)
+    return params
+
+
+def _plain(value: object) -> str:
+    if isinstance(value, bool):
+        return "true" if value else "false"
+    return "-" if value is None else str(value)
+
+
+def _number(params: Params, name: str, default: float = 0.0) -> float:
+    value = params.get(name, "")
+    return float(value) if value not in ("", "-", "none") else default
+
+
+def _integer(params: Params, name: str, default: int = 0) -> int:
+    return round(_number(params, name, default))
+
+
+def _flag(params: Params, name: str) -> bool:
+    return params.get(name) in ("true", "1")
+
+
+def _cells(text: str) -> tuple[int, ...]:
+    return tuple(int(cell) for cell in text.split(",") if cell not in ("", "-", "none"))
+
+
+def read_settings(params: Params) -> api.Settings:
+    """Turn the settings of a `boot` line into the module's own, skipping what is not known."""
+    classes = []
+    for number in range(_integer(params, "services.count")):
+        at = f"services.{number}."
+        classes.append(
+            api.CallClass(
+                aim_us=_integer(params, at + "aimUs"),
+                deadline_us=_integer(params, at + "deadlineUs"),
+                worth=_number(params, at + "importance", 1.0),
+                late_worth=_number(params, at + "lateWorth"),
+                repeatable=params.get(at + "effect", "free") == "free",
+                cells=_cells(params.get(f"specifics.skilledPools.{number}", "")),
+            )
+        )
+    tenants = tuple(
+        api.Tenant(fraction=_number(params, f"tenants.{number}.fraction"))
+        for number in range(_integer(params, "tenants.count"))
+    )
+    return api.Settings(
+        classes=tuple(classes),
+        tenants=tenants,
+        over_share_worth=_number(params, "overShareWorth", 1.0),
+        fleet_size=_integer(params, "fleetSize", 1),
+        answer_slack_us=_integer(params, "guarantees.answerSlackUs"),
+        cold_share=_number(params, "guarantees.coldShare", 1.0),
+        warm_after_us=_integer(params, "guarantees.warmAfterUs"),
+        fall_multiple=_number(params, "guarantees.fallMultiple", 1.0),
+        fall_us=_integer(params, "guarantees.fallUs"),
+        release_us=_integer(params, "specifics.guardUs"),
+        resend_us=_integer(params, "specifics.repeatUs"),
+        max_attempts=_integer(params, "limits.maxAttempts", 1),
+        ask_within_us=_integer(params, "guarantees.askWithinUs"),
+        may_cancel=_flag(params, "limits.mayCancel"),
+        must_ask=params.get("membershipMode") == "ask",
+        marks_redials=_flag(params, "callers.marksRetry"),
+    )
--- a/chalkwing/wirehost.py
+++ b/pearloom/wirehost.py
@@ -10,10 +10,10 @@
 from collections.abc import Callable, Iterable, Iterator
 from typing import IO
 
-from chalkwing import interface as api
-from chalkwing.policy import Controller
+from pearloom import interface as api
+from pearloom.policy import Controller
+from pearloom.settings import read_settings
 
-Params = dict[str, str]
 _STATES = {"0": api.PoolState.GONE, "1": api.PoolState.READY, "2": api.PoolState.DRAINING}
 _LISTS = {
     "0": api.ListKind.FAILED,
@@ -56,62 +56,6 @@
     return report
 
 
-def _number(params: Params, name: str, default: float = 0.0) -> float:
-    value = params.get(name, "")
-    return float(value) if value not in ("", "-", "none") else default
-
-
-def _integer(params: Params, name: str, default: int = 0) -> int:
-    return round(_number(params, name, default))
-
-
-def _flag(params: Params, name: str) -> bool:
-    return params.get(name) in ("true", "1")
-
-
-def _cells(text: str) -> tuple[int, ...]:
-    return tuple(int(cell) for cell in text.split(",") if cell not in ("", "-", "none"))
-
-
-def read_settings(params: Params) -> api.Settings:
-    """Turn the settings of a `boot` line into the module's own, skipping what is not known."""
-    classes = []
-    for number in range(_integer(params, "services.count")):
-        at = f"services.{number}."
-        classes.append(
-            api.CallClass(
-                aim_us=_integer(params, at + "aimUs"),
-                deadline_us=_integer(params, at + "deadlineUs"),
-                worth=_number(params, at + "importance", 1.0),
-                late_worth=_number(params, at + "lateWorth"),
-                repeatable=params.get(at + "effect", "free") == "free",
-                cells=_cells(params.get(f"specifics.skilledPools.{number}", "")),
-            )
-        )
-    tenants = tuple(
-        api.Tenant(fraction=_number(params, f"tenants.{number}.fraction"))
-        for number in range(_integer(params, "tenants.count"))
-    )
-    return api.Settings(
-        classes=tuple(classes),
-        tenants=tenants,
-        over_share_worth=_number(params, "overShareWorth", 1.0),
-        fleet_size=_integer(params, "fleetSize", 1),
-        answer_slack_us=_integer(params, "guarantees.answerSlackUs"),
-        cold_share=_number(params, "guarantees.coldShare", 1.0),
-        warm_after_us=_integer(params, "guarantees.warmAfterUs"),
-        fall_multiple=_number(params, "guarantees.fallMultiple", 1.0),
-        fall_us=_integer(params, "guarantees.fallUs"),
-        release_us=_integer(params, "specifics.guardUs"),
-        resend_us=_integer(params, "specifics.repeatUs"),
-        max_attempts=_integer(params, "limits.maxAttempts", 1),
-        ask_within_us=_integer(params, "guarantees.askWithinUs"),
-        may_cancel=_flag(params, "limits.mayCancel"),
-        must_ask=params.get("membershipMode") == "ask",
-        marks_redials=_flag(params, "callers.marksRetry"),
-    )
-
-
 def _opt(parts: list[str], index: int, default: int = 0) -> int:
     """An integer field that may be absent or left off the end of its line."""
     return int(parts[index]) if index < len(parts) and parts[index] != "-" else default
@@ -294,7 +238,7 @@
     try:
         serve(sys.stdin, sys.stdout)
     except WireError as trouble:
-        print(f"chalkwing: {trouble}", file=sys.stderr)
+        print(f"pearloom: {trouble}", file=sys.stderr)
         return 2
     return 0
 
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -4,8 +4,8 @@
 
 from typing import Any
 
-from chalkwing import interface as api
-from chalkwing.policy import Controller
+from pearloom import interface as api
+from pearloom.policy import Controller
 
 AIM = 1_000_000
 A, B = "a:1", "b:1"
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from chalkwing import interface as api
-from chalkwing import policy
+from pearloom import interface as api
+from pearloom import policy
 from tests.helpers import AIM, A, B, Proxy, cancels, entry, finals, sends, settings, timers
 
 Ending, State = api.Ending, api.PoolState
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -8,8 +8,8 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
-from chalkwing import interface as api
-from chalkwing.policy import Controller
+from pearloom import interface as api
+from pearloom.policy import Controller
 from tests.helpers import settings as told
 
 Ending, State = api.Ending, api.PoolState
--- a/tests/test_wirehost.py
+++ b/tests/test_wirehost.py
@@ -54,7 +54,7 @@
 
 def run(text: str, hash_seed: str = "0") -> subprocess.CompletedProcess[str]:
     return subprocess.run(
-        [sys.executable, "-m", "chalkwing.wirehost"],
+        [sys.executable, "-m", "pearloom.wirehost"],
         input=text,
         capture_output=True,
         text=True,
@@ -179,6 +179,6 @@
 
 
 def test_size_of_the_module() -> None:
-    lines = (ROOT / "chalkwing" / "policy.py").read_text().splitlines()
+    lines = (ROOT / "pearloom" / "policy.py").read_text().splitlines()
     assert 300 <= sum(bool(line.strip()) for line in lines) <= 650
     assert [number for number, line in enumerate(lines, 1) if len(line) > 110] == []
