--- a/pearloom/__main__.py
+++ b/pearloom/__main__.py
@@ -26,6 +26,8 @@
 LEAST_DEADLINE_MS = 3000.0
 STOP_EARLY_MS = 200.0  # of the 0.7 s that SIGKILL leaves beyond the longest deadline
 STOP_LOOK_S = 0.05
+GC_YOUNG = 20_000  # objects between collections: nearly all that a call leaves goes by its count
+TICK_S = 0.0025  # timers are looked at so often: a wake-up for each of hundreds a second costs more
 
 
 class Softswitch:
@@ -39,8 +41,7 @@
         self.exchange = Exchange(clock, config.settings, config.seed, self.counters, config.round_ms)
         self.callers = Callers(self.exchange, clock, self.counters, config.class_names, config.descriptors)
         self.servers = SessionServers(self.exchange, clock, self.counters, config.dial_timeout_ms)
-        self._timer_set = Event()
-        self.exchange.attach(self.callers, self.servers, self._timer_set.set)
+        self.exchange.attach(self.callers, self.servers)
         self.exchange.told(api.ListKind.CACHED, cached(config.known))
         self.coordinator = Coordinator(config.coordinator, config.known_index, self.exchange, self.counters)
 
@@ -53,9 +54,8 @@
 
     def _keep_time(self) -> None:
         while True:
-            self._timer_set.clear()
-            left_ms = self.exchange.run_due()
-            self._timer_set.wait(None if left_ms is None else left_ms / 1000.0)
+            self.exchange.run_due()
+            gevent.sleep(TICK_S)
 
     def print_counters(self) -> None:
         """Log what has been counted and what is held."""
@@ -90,6 +90,7 @@
     gevent.signal_handler(signal.SIGINT, stop.set)
     gevent.signal_handler(signal.SIGUSR1, softswitch.print_counters)
     gc.freeze()
+    gc.set_threshold(GC_YOUNG)
     note(logging.INFO, "started", name=config.name, listen=f"{config.listen[0]}:{config.listen[1]}")
     stop.wait()
     note(logging.INFO, "stopping")
--- a/pearloom/net/callers.py
+++ b/pearloom/net/callers.py
@@ -168,13 +168,15 @@
         self._connections: dict[CallerConnection, None] = {}
         self._unsent: deque[Release] = deque(maxlen=RELEASES_KEPT)
 
-    def listen(self, address: Address) -> None:
-        """Open the listening socket and take connections from now on."""
+    def listen(self, address: Address) -> Address:
+        """Open the listening socket, take connections from now on, and return where."""
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         sock.bind(address)
         sock.listen(BACKLOG)
         gevent.spawn(self._accept, sock)
+        host, port = sock.getsockname()
+        return host, port
 
     def _accept(self, listener: socket.socket) -> None:
         while True:
--- a/pearloom/net/connection.py
+++ b/pearloom/net/connection.py
@@ -14,7 +14,8 @@
 from pearloom.net.logs import crashed
 
 READ_BYTES = 64 * 1024
-MOST_QUEUED = 512 * 1024  # bytes: what a reader may be behind before it is cut off
+MOST_QUEUED = 128 * 1024  # bytes: what a reader may be behind; 400 such connections still fit the memory
+BATCH_BYTES = 32 * 1024  # written by one call
 WRITE_S = 2.0  # a peer that takes nothing for this long is as good as gone
 
 
@@ -47,6 +48,7 @@
         self._on_data, self._on_end, self._on_close = on_data, on_end, on_close
         self._queue: deque[Letter] = deque()
         self._queued = 0
+        self._sent_of_first = 0  # bytes of the first letter that have left
         self._ready = Event()
         self._finishing = False
         self.closed = False
@@ -58,6 +60,7 @@
 
     def send(self, letter: Letter) -> None:
         """Queue a letter; a peer that is too far behind is cut off instead."""
+        letter.progress = Progress.CONNECTING
         self._queue.append(letter)
         self._queued += len(letter.data)
         if self._queued > MOST_QUEUED:
@@ -101,32 +104,48 @@
     def _write(self) -> None:
         try:
             while not self.closed:
-                if not self._queue:
-                    if self._finishing:
-                        self.close("done")
-                        return
+                if self._queue:
+                    self._send_batch()
+                elif self._finishing:
+                    self.close("done")
+                else:
                     self._ready.clear()
                     self._ready.wait()
-                    continue
-                letter = self._queue[0]
-                if not letter.withdrawn:
-                    self._send_whole(letter)
-                if not self.closed:
-                    self._queue.popleft()
-                    self._queued -= len(letter.data)
         except OSError as trouble:
             self.close(_reason(trouble))
         except Exception:
             crashed("connection_failed")
             self.close("failed here")
 
-    def _send_whole(self, letter: Letter) -> None:
-        letter.progress = Progress.PARTLY_SENT
-        rest = memoryview(letter.data)
-        with gevent.Timeout(WRITE_S, TimeoutError("write timed out")):
-            while rest:
-                rest = rest[self._sock.send(rest) :]
-        letter.progress = Progress.SENT
+    def _send_batch(self) -> None:
+        """Write what is queued, as much of it as one call takes; one call a letter costs too much."""
+        batch: list[Letter] = []
+        size = 0
+        for letter in self._queue:
+            if letter.withdrawn and letter.progress < Progress.PARTLY_SENT:
+                continue
+            if size and size + len(letter.data) > BATCH_BYTES:
+                break
+            # While the call may block, each of them may be under way: a withdrawal then comes too late.
+            letter.progress = Progress.PARTLY_SENT
+            batch.append(letter)
+            size += len(letter.data)
+        data = b"".join([letter.data for letter in batch])[self._sent_of_first :]
+        sent = 0
+        if data:
+            with gevent.Timeout(WRITE_S, TimeoutError("write timed out")):
+                sent = self._sock.send(data)
+        rest, self._sent_of_first = self._sent_of_first + sent, 0
+        for letter in batch:
+            if rest >= len(letter.data):
+                letter.progress = Progress.SENT
+                rest -= len(letter.data)
+            elif rest:
+                self._sent_of_first, rest = rest, 0
+            else:
+                letter.progress = Progress.CONNECTING
+        while self._queue and (self._queue[0].withdrawn or self._queue[0].progress is Progress.SENT):
+            self._queued -= len(self._queue.popleft().data)
 
 
 def _reason(trouble: OSError) -> str:
--- a/pearloom/net/coordinator.py
+++ b/pearloom/net/coordinator.py
@@ -1,7 +1,7 @@
 """The coordinator's stream of changes to the pool list.
 
-    frame  = length:4 number:8 kind:1 payload      length counts all that follows it
-    record = id:4 address:4 port:2 state:1 zone:1 kind:1 cell:2 weight:4 started:8
+frame  = length:4 number:8 kind:1 payload      length counts all that follows it
+record = id:4 address:4 port:2 state:1 zone:1 kind:1 cell:2 weight:4 started:8
 """
 
 from __future__ import annotations
--- a/pearloom/net/exchange.py
+++ b/pearloom/net/exchange.py
@@ -26,6 +26,9 @@
 CAUSE_NORMAL = 16
 CAUSE_CUT = 41
 REMEMBERED = 20_000  # calls of this life that are over
+MOST_OPEN = 8_000  # calls that may wait for their answer; the memory is small
+MOST_DESCRIBED = 32 << 20  # bytes of descriptions held for them
+FULL_STAY_AWAY_MS = 1000.0
 # Added to the module's wait after doubt: a release reaches a far server later than the next set-up reaches a
 # near one, so the wait must hold at the servers too.
 RELEASE_MARGIN_US = 60_000
@@ -126,23 +129,24 @@
         self._calls: dict[str, Call] = {}
         self._standing: dict[str, dict[str, Call]] = {}
         self._over: OrderedDict[str, None] = OrderedDict()
+        self._open = 0
+        self._described = 0
         self._events: deque[api.Event] = deque()
         self._telling = False
         self._timers: list[tuple[float, int, Callable[[], None]]] = []
         self._timer_count = 0
-        self._wake: Callable[[], None] = lambda: None
         self._callers: CallerSide
         self._servers: ServerSide
 
-    def attach(self, callers: CallerSide, servers: ServerSide, wake: Callable[[], None]) -> None:
-        """Join both sides; `wake` is called when the next timer comes sooner than it did."""
-        self._callers, self._servers, self._wake = callers, servers, wake
+    def attach(self, callers: CallerSide, servers: ServerSide) -> None:
+        """Join both sides."""
+        self._callers, self._servers = callers, servers
 
     # --- what is here ---------------------------------------------------------------------------------------
     @property
     def open_calls(self) -> int:
         """Calls that are owed an answer."""
-        return sum(not call.answered for call in self._calls.values())
+        return self._open
 
     @property
     def standing_calls(self) -> int:
@@ -165,8 +169,15 @@
     def offered(self, offer: Offer, caller: Caller) -> None:
         """A new set-up."""
         self._counters.add("set_ups_in")
+        if self._open >= MOST_OPEN or self._described + len(offer.description) > MOST_DESCRIBED:
+            # Guards against a flood that would cost this process its life; nothing is decided of the call.
+            self._counters.add("refused_unseen")
+            caller.refused(offer.call, FULL_STAY_AWAY_MS)
+            return
         self._over.pop(offer.call, None)
         self._calls[offer.call] = Call(offer, caller)
+        self._open += 1
+        self._described += len(offer.description)
         self._tell(
             api.CallArrived(
                 call=offer.call,
@@ -193,7 +204,7 @@
             self._ended(call, Ending.CANCELLED)
         elif not call.answered:
             self._counters.add("given_up_by_caller")
-            call.answered = True
+            self._close(call)
             self._tell(api.CallGone(name))
             self._give_up(call, Ending.CANCELLED)
             self._forget(call)
@@ -205,7 +216,8 @@
         if call is None or call.current != attempt or call.answered:
             return False
         now = self._clock.now_ms()
-        call.current, call.stands, call.answered, call.stood_ms = -1, True, True, now
+        call.current, call.stands, call.stood_ms = -1, True, now
+        self._close(call)
         self._standing.setdefault(call.server, {})[name] = call
         self._counters.add("answers_out")
         # The module hears of it first: a caller that can't be told any more ends the call at once.
@@ -259,22 +271,16 @@
 
     def _at_ms(self, due_ms: float, deed: Callable[[], None]) -> None:
         self._timer_count += 1
-        first = not self._timers or due_ms < self._timers[0][0]
         heapq.heappush(self._timers, (due_ms, self._timer_count, deed))
-        if first:
-            self._wake()
-
-    def run_due(self) -> float | None:
-        """Do what is due and return how long the next timer has, in milliseconds."""
-        while self._timers:
-            left = self._timers[0][0] - self._clock.now_ms()
-            if left > 0:
-                return left
+
+    def run_due(self) -> None:
+        """Do what is due."""
+        now = self._clock.now_ms()
+        while self._timers and self._timers[0][0] <= now:
             try:
                 heapq.heappop(self._timers)[2]()
             except Exception:
                 crashed("timer_failed")
-        return None
 
     # --- the controller -------------------------------------------------------------------------------------
     def _step_us(self) -> int:
@@ -346,7 +352,7 @@
         # Guards against a second final answer, and one after the caller gave up.
         if call is None or call.answered:
             return
-        call.answered = True
+        self._close(call)
         self._counters.add(counter)
         say(call.caller)
         self._forget(call)
@@ -392,6 +398,13 @@
             )
         )
 
+    def _close(self, call: Call) -> None:
+        """No answer is owed any more, nor is the description needed."""
+        call.answered = True
+        self._open -= 1
+        self._described -= len(call.offer.description)
+        call.offer = replace(call.offer, description=b"")
+
     def _forget(self, call: Call) -> None:
         if call.answered and not call.stands and call.current < 0:
             self._calls.pop(call.offer.call, None)
--- a/pearloom/net/isup.py
+++ b/pearloom/net/isup.py
@@ -1,7 +1,7 @@
 """Codec of the binary messages that callers and softswitches exchange: bytes in, values out.
 
-    message   = length:2 type:1 call:8 parameters      length counts all that follows it; big-endian
-    parameter = code:1 length:2 value
+message   = length:2 type:1 call:8 parameters      length counts all that follows it; big-endian
+parameter = code:1 length:2 value
 """
 
 from __future__ import annotations
@@ -79,9 +79,7 @@
     parameters = b"".join(
         _PARAMETER.pack(code, len(value)) + value for code, value in message.parameters.items()
     )
-    return (
-        _HEAD.pack(_LEAST_LENGTH + len(parameters), message.type, bytes.fromhex(message.call)) + parameters
-    )
+    return _HEAD.pack(_LEAST_LENGTH + len(parameters), message.type, bytes.fromhex(message.call)) + parameters
 
 
 class Decoder:
--- a/pearloom/net/session_servers.py
+++ b/pearloom/net/session_servers.py
@@ -24,6 +24,7 @@
 REDIAL_MS = 250.0  # pause between dials while calls stand at a server
 BYE_KEPT_MS = 5000.0  # a BYE whose connection ends within this time, unanswered, is sent again
 MOST_LINKS = 4  # connections to one server
+GIVEN_UP_KEPT = 1000  # set-ups given up whose last answer may still come
 
 # How a refusal counts; any other status from 300 on is an error.
 _STATUS_ENDINGS = {
@@ -66,7 +67,7 @@
         """Take a connection that has come up."""
         self._trunk = trunk
         self._decoder = sip.Decoder()
-        self.heard_ms = now_ms
+        self.opened_ms = self.heard_ms = now_ms
         self.connection = Connection(sock, self._data, self._ended, self._closed)
 
     def send(self, letter: Letter) -> None:
@@ -103,14 +104,32 @@
         self._failed_dials = 0
         self._waiting: list[Letter] = []
         self._set_ups: dict[str, _SetUpLetter] = {}
+        self._given_up: dict[str, _SetUpLetter] = {}
         self._byes: dict[str, tuple[Letter, float]] = {}
         self._heard_ms = side.clock.now_ms()  # the last sign of life
+        self._owing_ms = self._heard_ms  # since when it owes anything
 
     @property
     def ready(self) -> bool:
         """May it get new set-ups?"""
         return self.server.entry.state is PoolState.READY
 
+    @property
+    def _owing(self) -> bool:
+        """Is anything to come from it?"""
+        return bool(self._set_ups) or self._exchange.standing_at(self.name) > 0
+
+    @property
+    def idle(self) -> bool:
+        """Is it gone, with nothing left to do?"""
+        busy = self._owing or self._dialling or self._waiting
+        return self.server.entry.state is PoolState.GONE and not busy
+
+    @property
+    def _quiet_ms(self) -> float:
+        """For how long it has owed something and said nothing."""
+        return self._side.clock.now_ms() - max(self._heard_ms, self._owing_ms)
+
     # --- what the exchange asks for -------------------------------------------------------------------------
     def set_up(self, set_up: SetUp) -> None:
         """Send an INVITE."""
@@ -120,6 +139,8 @@
             "INVITE", offer.number, offer.call, set_up.attempt + 1, headers, offer.description
         )
         letter = _SetUpLetter(data, set_up)
+        if not self._owing:
+            self._owing_ms = self._side.clock.now_ms()
         self._set_ups[offer.call] = letter
         self._send(letter)
 
@@ -134,6 +155,9 @@
             self._side.counters.add("cancels_out")
             offer, sequence = letter.set_up.offer, letter.set_up.attempt + 1
             letter.link.send(Letter(sip.encode_request("CANCEL", offer.number, call, sequence, {})))
+            self._given_up[call] = letter
+            if len(self._given_up) > GIVEN_UP_KEPT:
+                del self._given_up[next(iter(self._given_up))]
         return letter.progress
 
     def withdraw_unsent(self) -> None:
@@ -145,9 +169,7 @@
     def release(self, call: str, number: str, cause: int) -> None:
         """Send a BYE."""
         self._side.counters.add("byes_out")
-        letter = Letter(
-            sip.encode_request("BYE", number, call, 2, {"Reason": f"Q.850;cause={cause}"}), call
-        )
+        letter = Letter(sip.encode_request("BYE", number, call, 2, {"Reason": f"Q.850;cause={cause}"}), call)
         now = self._side.clock.now_ms()
         self._byes = {key: bye for key, bye in self._byes.items() if bye[1] > now - BYE_KEPT_MS}
         self._byes[call] = (letter, now)
@@ -158,7 +180,10 @@
         before, self.server = self.server, server
         if server.entry.started_us > before.entry.started_us:
             # Guards against calls that stood on the process before this one, of which nothing will come.
-            self._exchange.server_lost(self.name, server.entry.started_us / 1000.0, "restarted")
+            started_ms = server.entry.started_us / 1000.0
+            self._exchange.server_lost(self.name, started_ms, "restarted")
+            for link in [one for one in self._links if one.opened_ms < started_ms]:
+                link.connection.close("restarted")
         if server.entry.state is PoolState.GONE:
             self.watch()
 
@@ -207,7 +232,6 @@
     def _dial_failed(self, refused: bool, reason: str) -> None:
         note(logging.INFO, "dial_failed", server=self.name, refused=refused, reason=reason)
         self._failed_dials += 1
-        quiet = self._side.clock.now_ms() - self._heard_ms
         waiting, self._waiting = self._waiting, []
         for letter in waiting:
             if isinstance(letter, _SetUpLetter):
@@ -217,7 +241,7 @@
                 self._waiting.append(letter)
         # A refused connection proves that the process is not there; one that never comes up may be a lost
         # packet, so it takes two, and a silence.
-        if refused or (self._failed_dials >= DEAD_DIALS and quiet >= QUIET_MS):
+        if refused or (self._failed_dials >= DEAD_DIALS and self._quiet_ms >= QUIET_MS):
             self._lost("refused" if refused else "silent")
         elif self._exchange.standing_at(self.name) or self._waiting:
             self._side.exchange.after_ms(REDIAL_MS, self._redial)
@@ -234,11 +258,16 @@
         for link in list(self._links):
             link.connection.close(reason)
 
+    def close(self) -> None:
+        """Close all connections of a server that is gone."""
+        for link in list(self._links):
+            link.connection.finish()
+
     def _close_spare_links(self) -> None:
         """Close all but the newest, as far as no set-up is open on them."""
         used = {id(letter.link) for letter in self._set_ups.values()}
         spare = [link for link in self._links[:-1] if id(link) not in used]
-        for link in spare or self._links[: -MOST_LINKS]:
+        for link in spare or self._links[:-MOST_LINKS]:
             link.connection.finish()
 
     def link_closed(self, link: Link, reason: str, unsent: list[Letter]) -> None:
@@ -264,15 +293,14 @@
                 self.dial()
 
     def watch(self) -> None:
-        """Called now and then: has a server where calls stand fallen silent?"""
-        if not self._exchange.standing_at(self.name):
+        """Called now and then: has a server that owes something fallen silent?"""
+        if not self._owing:
             return
-        quiet = self._side.clock.now_ms() - self._heard_ms
         if self.server.entry.state is PoolState.GONE:
             heard = max((link.heard_ms for link in self._links), default=0.0)
             if self._side.clock.now_ms() - heard >= QUIET_MS:
                 self._lost("gone")
-        elif quiet >= QUIET_MS:
+        elif self._quiet_ms >= QUIET_MS:
             # Guards against a machine that vanished: its connections stay open and say nothing, and only a
             # new one, which never comes up, tells it from one whose processor hangs.
             self.dial()
@@ -316,8 +344,9 @@
         if response.method != "INVITE" or response.status < 200:
             return
         letter = self._set_ups.get(call)
-        number = letter.set_up.offer.number if letter is not None else "unknown"
-        sequence = letter.set_up.attempt + 1 if letter is not None else 1
+        known = letter or self._given_up.pop(call, None)
+        number = known.set_up.offer.number if known is not None else "unknown"
+        sequence = known.set_up.attempt + 1 if known is not None else 1
         link.send(Letter(sip.encode_request("ACK", number, call, sequence, {})))
         if response.status >= 300:
             if letter is not None:
@@ -357,6 +386,9 @@
         try:
             for trunk in list(self._trunks.values()):
                 trunk.watch()
+                if trunk.idle:
+                    trunk.close()
+                    del self._trunks[trunk.name]
         except Exception:
             crashed("watch_failed")
         self.exchange.after_ms(WATCH_MS, self._watch)
--- /dev/null
+++ b/tests/test_exchanges.py
@@ -0,0 +1,20 @@
+"""Every recording under tests/exchanges, played against the softswitch on loopback."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+
+from tests.player import Player
+
+RECORDINGS = sorted((Path(__file__).parent / "exchanges").glob("*.txt"))
+
+
+@pytest.mark.parametrize("path", RECORDINGS, ids=lambda path: path.stem)
+def test_recording(path: Path, tmp_path: Path) -> None:
+    Player(tmp_path).play(path)
+
+
+def test_recordings_are_found() -> None:
+    assert len(RECORDINGS) > 10
--- /dev/null
+++ b/tests/test_program.py
@@ -0,0 +1,119 @@
+"""The program as it is started: configuration, SIGTERM, signals, exit codes."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+from tests.player import SETTINGS, encode
+
+ROOT = Path(__file__).parent.parent
+TEST = "(34 00000000000000ff 2d(00))"
+PASSED = "(35 00000000000000ff 2d(01))"
+FAILED = "(35 00000000000000ff 2d(00))"
+TOLD: dict[str, object] = {
+    "name": "n1",
+    "listen": "127.0.0.1:0",
+    "seed": "8c1f30d27a5be964",
+    "coordinator": "127.0.0.1:1",
+    "known": {"index": 0, "updates": []},
+    "limits": {"sockets": 64},
+    "settings": SETTINGS,
+}
+
+
+def start(folder: Path, told: object) -> subprocess.Popen[str]:
+    path = folder / "config.json"
+    path.write_text(told if isinstance(told, str) else json.dumps(told))
+    return subprocess.Popen(
+        [sys.executable, "-m", "pearloom"],
+        cwd=ROOT,
+        env={**os.environ, "BALANCER_CONFIG": str(path)},
+        stderr=subprocess.PIPE,
+        text=True,
+    )
+
+
+def port() -> int:
+    with socket.socket() as free:
+        free.bind(("127.0.0.1", 0))
+        found: int = free.getsockname()[1]
+        return found
+
+
+@pytest.fixture
+def running(tmp_path: Path) -> Iterator[tuple[subprocess.Popen[str], socket.socket]]:
+    address = ("127.0.0.1", port())
+    process = start(tmp_path, {**TOLD, "listen": f"{address[0]}:{address[1]}"})
+    assert process.stderr is not None and "event=started" in process.stderr.readline()
+    with socket.create_connection(address, timeout=5) as caller:
+        yield process, caller
+    process.kill()
+    process.wait()
+    process.stderr.close()
+
+
+def ask(caller: socket.socket) -> bytes:
+    caller.sendall(encode(TEST))
+    return caller.recv(100)
+
+
+def test_sigterm_fails_tests_from_then_on_and_exits_with_0(
+    running: tuple[subprocess.Popen[str], socket.socket],
+) -> None:
+    process, caller = running
+    assert ask(caller) == encode(PASSED)
+    process.send_signal(signal.SIGTERM)
+    assert process.stderr is not None
+    while "event=stopping" not in process.stderr.readline():
+        pass
+    assert ask(caller) == encode(FAILED)
+    assert process.wait(10) == 0
+    assert "event=counters" in process.stderr.read()
+
+
+def test_counters_are_printed_on_request(running: tuple[subprocess.Popen[str], socket.socket]) -> None:
+    process, caller = running
+    caller.sendall(encode('(01 9b1f03aa5c7e2d41 03("none"))'))
+    assert len(caller.recv(100)) > 0
+    process.send_signal(signal.SIGUSR1)
+    assert process.stderr is not None
+    lines = iter(process.stderr.readline, "")
+    line = next(line for line in lines if "event=counters" in line)
+    assert "bad_set_ups=1" in line and "open_calls=0" in line
+
+
+@pytest.mark.parametrize(
+    "told",
+    [
+        "{",
+        {},
+        {**TOLD, "settings": {}},
+        {**TOLD, "listen": "nowhere"},
+        {**TOLD, "seed": "x"},
+        {**TOLD, "settings": {**SETTINGS, "fleetSize": 0}},
+        {**TOLD, "known": {"updates": [{"index": 1, "endpoints": {"whole": True, "hosts": [{}]}}]}},
+    ],
+)
+def test_an_unusable_configuration_is_one_plain_line(tmp_path: Path, told: object) -> None:
+    process = start(tmp_path, told)
+    _, errors = process.communicate(timeout=30)
+    assert process.returncode == 2
+    assert errors.startswith("pearloom: ") and errors.count("\n") == 1
+
+
+def test_a_taken_address_is_one_plain_line(tmp_path: Path) -> None:
+    with socket.socket() as taken:
+        taken.bind(("127.0.0.1", 0))
+        taken.listen()
+        process = start(tmp_path, {**TOLD, "listen": f"127.0.0.1:{taken.getsockname()[1]}"})
+        _, errors = process.communicate(timeout=30)
+    assert process.returncode == 2 and errors.count("\n") == 1
