Tell a refused caller when to come back: one aim

Seen: the module gave no waiting time, so parameter 21 was never sent, and refused callers dialled again into the same shut gates.

--- a/pearloom/policy.py
+++ b/pearloom/policy.py
@@ -51,6 +51,7 @@
 SHARE_SLACK = 1.1  # x tenant's fraction: own mix is a small sample
 SHARE_DEPTH = 8.0  # calls: how far a tenant may run ahead of its fraction
 HOLD = 0.5  # x aim: how long a call may wait here for a gate to open; the rest is for the set-up
+STAY_AWAY = 1.0  # x aim: what a refused caller is asked to wait; sooner it would meet the same shut gates
 PULSE = 0.1  # x resend gap: how often held calls are put to the gates when nothing else happens
 SILENT_AFTER = 0.5  # x aim: an attempt unanswered so long, with no other answer since, is silence
 LOST_AFTER = 0.25  # x aim: how often an attempt that is out is looked at
@@ -602,7 +603,11 @@
         call.answered = True
         if call.number:
             self._unserved[call.number, call.kind] = call.wanted_since
-        self._actions.append(api.Refuse(call.name) if refuse and not call.sealed else api.Fail(call.name))
+        if refuse and not call.sealed:
+            # Guards against redials that press shut gates; told at once, not by holding the answer back.
+            self._actions.append(api.Refuse(call.name, int(STAY_AWAY * self._aim)))
+        else:
+            self._actions.append(api.Fail(call.name))
         self._forget(call)
 
     def _forget(self, call: Call) -> None:
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -40,7 +40,7 @@
     timer = own_timer(held)
     assert timer.after_us == int(policy.HOLD * AIM)
     assert not finals(proxy.tell(api.TimerDue(timer.token), timer.after_us - 1))
-    assert finals(proxy.tell(api.TimerDue(timer.token), 1)) == [api.Refuse("c3")]
+    assert finals(proxy.tell(api.TimerDue(timer.token), 1)) == [api.Refuse("c3", int(policy.STAY_AWAY * AIM))]
     assert not finals(proxy.tell(api.TimerDue(timer.token), 1))
 
 
@@ -171,7 +171,9 @@
 
     assert rank("7", "first") == 1
     token = next(iter(proxy.controller._tokens))
-    assert finals(proxy.tell(api.TimerDue(token), int(policy.HOLD * AIM))) == [api.Refuse("first")]
+    assert finals(proxy.tell(api.TimerDue(token), int(policy.HOLD * AIM))) == [
+        api.Refuse("first", int(policy.STAY_AWAY * AIM))
+    ]
     proxy.now += AIM
     assert rank("8", "other number") == 1
     assert rank("7", "redial") == 0
@@ -419,7 +421,7 @@
     held = proxy.call(patience=3_000_000)
     assert not sends(held)
     assert finals(proxy.tell(api.TimerDue(own_timer(held).token), int(policy.HOLD * AIM))) == [
-        api.Refuse("c1")
+        api.Refuse("c1", int(policy.STAY_AWAY * AIM))
     ]
 
 
