Hand the servers' free lines to the module; let refused calls leave the line

A trace of the gates four times a second showed two causes: 1. After a 'no circuit' the module thought a pool had no free line but those that it gave back itself: its stood rate fell from 174 to 3 a second and stayed there though the server was well. Trunk.message dropped each NOTIFY, whose X-Circuits tells the free lines once a second ('idle:29;circuits:147'). 2.

Change: X-Circuits on any message becomes a PoolReport, read by the one reader in settings.py; answered calls leave the line first.

--- a/pearloom/net/exchange.py
+++ b/pearloom/net/exchange.py
@@ -9,7 +9,7 @@
 import heapq
 import logging
 from collections import OrderedDict, deque
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, replace
 from typing import Protocol
 
@@ -244,6 +244,11 @@
             self._remember(name)
             self._callers.release(name, cause, None)
 
+    def reported(self, server: str, report: Mapping[str, float]) -> None:
+        """A session server told how many lines are free."""
+        self._counters.add("reports_in")
+        self._tell(api.PoolReport(server, Ending.ENDED, 0, report))
+
     def server_lost(self, server: str, before_ms: float, reason: str) -> None:
         """A server is dead, or silent for too long: what stood there before that time is cut."""
         cut = [call for call in self._standing.get(server, {}).values() if call.stood_ms < before_ms]
--- a/pearloom/net/session_servers.py
+++ b/pearloom/net/session_servers.py
@@ -17,6 +17,7 @@
 from pearloom.net.errors import AttemptError, Malformed, Progress
 from pearloom.net.exchange import CAUSE_NORMAL, Exchange, SetUp
 from pearloom.net.logs import crashed, note
+from pearloom.settings import read_report
 
 WATCH_MS = 250.0  # how often connections are looked at
 QUIET_MS = 2500.0  # with calls standing, a server silent for so long gets a new connection
@@ -316,10 +317,12 @@
         """Take one message."""
         self._heard_ms = link.heard_ms = self._side.clock.now_ms()
         call = sip.call_of(message)
+        if "x-circuits" in message.headers:
+            self._report(message.headers["x-circuits"])
         if isinstance(message, sip.Request) and message.method == "OPTIONS":
             link.send(Letter(sip.encode_response(message, 200, "OK")))
         elif isinstance(message, sip.Request) and message.method == "NOTIFY":
-            self._side.counters.add("group_states_in")
+            pass  # all that it tells is in its X-Circuits, and it wants no answer
         elif call is None:
             note(logging.WARNING, "server_no_call", server=self.name)
         elif isinstance(message, sip.Response):
@@ -331,6 +334,15 @@
         elif message.method != "ACK":
             note(logging.WARNING, "server_unknown_method", server=self.name, method=message.method, call=call)
 
+    def _report(self, figures: str) -> None:
+        """Guards against a gate that learns only from refusals how few lines are free."""
+        try:
+            report = read_report(figures)
+        except ValueError:
+            self.malformed(Malformed(f"X-Circuits {figures[:60]!r}", fatal=False))
+        else:
+            self._exchange.reported(self.name, report)
+
     def _released(self, call: str, cause: int) -> None:
         letter = self._set_ups.get(call)
         if letter is not None:
--- a/pearloom/policy.py
+++ b/pearloom/policy.py
@@ -535,9 +535,11 @@
         Harm: in a long overload every call that stands has waited, so the hold stays well inside the aim."""
         for rank in (2, 1, 0):
             line = self._held[rank]
-            while line and rank > self._shut_rank:  # a gate that is shut is shut for lower ranks too
+            while line:
                 call = line[0]
                 if not call.answered and call.current < 0:
+                    if rank <= self._shut_rank:  # a gate that is shut is shut for lower ranks too
+                        break
                     pool = self._choose(call)
                     if pool is None or not self._send(call, pool):
                         break
--- a/pearloom/settings.py
+++ b/pearloom/settings.py
@@ -1,4 +1,4 @@
-"""The one reader of settings, for the simulator's adapter and for the real softswitch.
+"""The one reader of settings and reports, for the simulator's adapter and for the real softswitch.
 
 The adapter is told `path=value` pairs, the real softswitch the same object as nested JSON: `flatten` turns
 the second form into the first, so that both hosts hand the module the same settings.
@@ -9,6 +9,13 @@
 from pearloom import interface as api
 
 Params = dict[str, str]
+_REPORT_NAMES = {
+    "idle": "free_lines",
+    "circuits": "lines",
+    "recent_ms": "wait_ms",
+    "reduce": "hold_back",
+    "max_rate": "calls_per_s",
+}
 
 
 def flatten(settings: object, path: str = "") -> Params:
@@ -88,3 +95,13 @@
         must_ask=params.get("membershipMode") == "ask",
         marks_redials=_flag(params, "callers.marksRetry"),
     )
+
+
+def read_report(text: str) -> dict[str, float]:
+    """A server's figures, `name:value` pairs set apart by commas or semicolons, under the module's names."""
+    report: dict[str, float] = {}
+    for pair in text.replace(";", ",").split(",") if text not in ("-", "") else ():
+        name, colon, value = pair.strip().partition(":")
+        if colon:
+            report[_REPORT_NAMES.get(name, name)] = float(value)
+    return report
--- a/pearloom/wirehost.py
+++ b/pearloom/wirehost.py
@@ -12,7 +12,7 @@
 
 from pearloom import interface as api
 from pearloom.policy import Controller
-from pearloom.settings import read_settings
+from pearloom.settings import read_report, read_settings
 
 _STATES = {"0": api.PoolState.GONE, "1": api.PoolState.READY, "2": api.PoolState.DRAINING}
 _LISTS = {
@@ -31,13 +31,6 @@
     "CANCELLED": api.Ending.CANCELLED,
     "TOO_LATE": api.Ending.NOT_SENT,
 }
-_REPORT_NAMES = {
-    "idle": "free_lines",
-    "circuits": "lines",
-    "recent_ms": "wait_ms",
-    "reduce": "hold_back",
-    "max_rate": "calls_per_s",
-}
 _NOTE_NO_LINE, _NOTE_FULL = 1, 3  # low four bits of a clear code
 _NOTE_BITS = 16  # the rest of it: a wait in milliseconds
 _FLAG_REDIAL, _FLAG_CUT = 2, 16
@@ -47,15 +40,6 @@
     """A line that the protocol does not allow."""
 
 
-def _pairs(text: str) -> dict[str, float]:
-    report: dict[str, float] = {}
-    for pair in text.split(",") if text not in ("-", "") else ():
-        name, colon, value = pair.partition(":")
-        if colon:
-            report[_REPORT_NAMES.get(name, name)] = float(value)
-    return report
-
-
 def _opt(parts: list[str], index: int, default: int = 0) -> int:
     """An integer field that may be absent or left off the end of its line."""
     return int(parts[index]) if index < len(parts) and parts[index] != "-" else default
@@ -96,12 +80,12 @@
         processor_full=full,
         no_line=ending is api.Ending.FULL and code % _NOTE_BITS == _NOTE_NO_LINE,
         full_wait_us=code // _NOTE_BITS * 1000 if full else 0,
-        report=_pairs(_text(parts, 8)),
+        report=read_report(_text(parts, 8)),
     )
 
 
 def _health(parts: list[str]) -> api.Event:
-    return api.PoolReport(parts[1], _ENDINGS[parts[2]], _opt(parts, 3), _pairs(_text(parts, 4)))
+    return api.PoolReport(parts[1], _ENDINGS[parts[2]], _opt(parts, 3), read_report(_text(parts, 4)))
 
 
 _EVENTS: dict[str, Callable[[list[str]], api.Event]] = {
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -588,3 +588,12 @@
     assert first.count(True) == 1
     proxy.controller._pressed = 0.0
     assert sends(proxy.call(first=0)) == ["p0"]
+
+
+def test_calls_that_were_refused_do_not_stay_in_line() -> None:
+    """Guards against a line that grows for as long as the gates stay shut."""
+    proxy = Proxy(entry(A, 0, State.GONE))
+    for _ in range(50):
+        held = proxy.call()
+        assert finals(proxy.tell(api.TimerDue(own_timer(held).token), int(policy.HOLD * AIM)))
+    assert sum(len(line) for line in proxy.controller._held) <= 1
