--- a/pearloom/net/callers.py
+++ b/pearloom/net/callers.py
@@ -68,10 +68,10 @@
         self._send_release(call, Cause.TEMPORARY_FAILURE)
 
     # --- the rest
-    def release(self, call: str, cause: int, now_ms: float) -> None:
-        """A call that stood is over."""
-        self.unheard[call] = (cause, now_ms)
-        while self.unheard and next(iter(self.unheard.values()))[1] < now_ms - UNHEARD_MS:
+    def release(self, call: str, cause: int, since_ms: float) -> None:
+        """A call that stood is over, and its caller has been told since then, if not on this connection."""
+        self.unheard[call] = (cause, since_ms)
+        while next(iter(self.unheard.values()))[1] < since_ms - UNHEARD_MS:
             self.unheard.popitem(last=False)
         self._send_release(call, cause)
 
@@ -231,6 +231,10 @@
     def release(self, call: str, cause: int, caller: Caller | None) -> None:
         """Tell the caller that brought the call, else any other, else the next one that connects."""
         self.counters.add("releases_out")
+        self._release(call, cause, self._clock.now_ms(), caller)
+
+    def _release(self, call: str, cause: int, since_ms: float, caller: Caller | None) -> None:
+        """`since_ms` stays that of the first sending, so that it is not sent again for ever."""
         if isinstance(caller, CallerConnection) and not caller.connection.closed:
             chosen: CallerConnection | None = caller
         else:
@@ -238,7 +242,7 @@
         if chosen is None:
             self._unsent.append((call, cause))
         else:
-            chosen.release(call, cause, self._clock.now_ms())
+            chosen.release(call, cause, since_ms)
 
     def forget(self, caller: CallerConnection) -> None:
         """A connection has ended."""
@@ -249,4 +253,4 @@
         since = self._clock.now_ms() - UNHEARD_MS
         for call, (cause, sent_ms) in unheard.items():
             if sent_ms >= since:
-                self.release(call, cause, None)
+                self._release(call, cause, sent_ms, None)
--- a/pearloom/net/connection.py
+++ b/pearloom/net/connection.py
@@ -55,8 +55,8 @@
 
     def start(self) -> None:
         """Begin to read and write."""
-        gevent.spawn(self._read)
-        gevent.spawn(self._write)
+        gevent.spawn(self._guard, self._read)
+        gevent.spawn(self._guard, self._write)
 
     def send(self, letter: Letter) -> None:
         """Queue a letter; a peer that is too far behind is cut off instead."""
@@ -87,35 +87,33 @@
         except Exception:
             crashed("connection_close_failed")
 
-    def _read(self) -> None:
+    def _guard(self, work: Callable[[], None]) -> None:
+        """Exceptions stop here: they end this connection, and the program goes on."""
         try:
-            while not self.closed:
-                data = self._sock.recv(READ_BYTES)
-                if not data:
-                    self._on_end()
-                    return
-                self._on_data(data)
+            work()
         except OSError as trouble:
             self.close(_reason(trouble))
         except Exception:
             crashed("connection_failed")
             self.close("failed here")
 
+    def _read(self) -> None:
+        while not self.closed:
+            data = self._sock.recv(READ_BYTES)
+            if not data:
+                self._on_end()
+                return
+            self._on_data(data)
+
     def _write(self) -> None:
-        try:
-            while not self.closed:
-                if self._queue:
-                    self._send_batch()
-                elif self._finishing:
-                    self.close("done")
-                else:
-                    self._ready.clear()
-                    self._ready.wait()
-        except OSError as trouble:
-            self.close(_reason(trouble))
-        except Exception:
-            crashed("connection_failed")
-            self.close("failed here")
+        while not self.closed:
+            if self._queue:
+                self._send_batch()
+            elif self._finishing:
+                self.close("done")
+            else:
+                self._ready.clear()
+                self._ready.wait()
 
     def _send_batch(self) -> None:
         """Write what is queued, as much of it as one call takes; one call a letter costs too much."""
--- a/pearloom/net/exchange.py
+++ b/pearloom/net/exchange.py
@@ -25,7 +25,7 @@
 # Q.850 causes, the words in which all telephone protocols say why a call is over.
 CAUSE_NORMAL = 16
 CAUSE_CUT = 41
-REMEMBERED = 20_000  # calls of this life that are over
+REMEMBERED = 60_000  # calls of this life that are over: a quarter of a minute of the worst rate seen
 MOST_OPEN = 8_000  # calls that may wait for their answer; the memory is small
 MOST_DESCRIBED = 32 << 20  # bytes of descriptions held for them
 FULL_STAY_AWAY_MS = 1000.0
