End calls of a server that is gone though its successor talks at the same address

Change: once the list says gone, or a ready server of another id has the address of one that drains, calls that stood before the oldest open connection was opened are over.

--- a/pearloom/net/session_servers.py
+++ b/pearloom/net/session_servers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 from collections.abc import Sequence
 
 import gevent
@@ -297,11 +298,16 @@
         """Called now and then: has a server that owes something fallen silent?"""
         if not self._owing:
             return
-        if self.server.entry.state is PoolState.GONE:
-            heard = max((link.heard_ms for link in self._links), default=0.0)
-            if self._side.clock.now_ms() - heard >= QUIET_MS:
-                self._lost("gone")
-        elif self._quiet_ms >= QUIET_MS:
+        is_gone = self.server.entry.state is PoolState.GONE
+        if is_gone or (not self.ready and self._side.address_taken(self)):
+            # Guards against taking the process that now has this address, and talks, for the one that had the
+            # calls: only a connection from before them can still be the old one's.
+            opened_ms = min((link.opened_ms for link in self._links), default=math.inf)
+            self._exchange.server_lost(self.name, opened_ms, "gone" if is_gone else "replaced")
+        heard_ms = max((link.heard_ms for link in self._links), default=0.0)
+        if is_gone and self._side.clock.now_ms() - heard_ms >= QUIET_MS:
+            self._lost("gone")
+        elif not is_gone and self._quiet_ms >= QUIET_MS:
             # Guards against a machine that vanished: its connections stay open and say nothing, and only a
             # new one, which never comes up, tells it from one whose processor hangs.
             self.dial()
