Keep the calls of a draining server that takes no new connection

The log shows server_lost reason=refused, then server_closed of a connection that had been open till then.

At fault: Trunk._dial_failed took any refused dial for proof of death. A draining server with few calls is quiet for 2.5 s, gets a further connection, refuses it and still serves the old ones. Ruled out: the list, which said draining at that time and gone only later.

Change: a refusal proves death only with no connection left; for a draining server it counts as a sign of life. Test: server_drains.txt; it fails without the change.

--- a/pearloom/net/session_servers.py
+++ b/pearloom/net/session_servers.py
@@ -241,10 +241,17 @@
                     self._failed(letter, AttemptError(Progress.CONNECTING, reason))
             else:
                 self._waiting.append(letter)
-        # A refused connection proves that the process is not there; one that never comes up may be a lost
-        # packet, so it takes two, and a silence.
-        if refused or (self._failed_dials >= DEAD_DIALS and self._quiet_ms >= QUIET_MS):
-            self._lost("refused" if refused else "silent")
+        if refused and self._links and not self.ready:
+            # Guards against cutting calls of a server that drains: it takes no new connection, but those that
+            # are open go on. The refusal is a sign of life of its machine.
+            self._heard_ms = self._side.clock.now_ms()
+            return
+        # With no connection left, a refused one proves that the process is not there; one that never comes up
+        # may be a lost packet, so it takes two, and a silence.
+        if refused and not self._links:
+            self._lost("refused")
+        elif self._failed_dials >= DEAD_DIALS and self._quiet_ms >= QUIET_MS:
+            self._lost("silent")
         elif self._exchange.standing_at(self.name) or self._waiting:
             self._side.exchange.after_ms(REDIAL_MS, self._redial)
 
