Release to callers that bring set-ups; answer or close bad callers in time

A trace showed that all of them were sent to the newest connection (callers.py, _release: next(reversed(self._connections))), which there belongs to a caller that has tested once and then only stays; of 274 such releases 27 reached a connection with set-ups and were confirmed, the other 247 were not. Ruled out: releases that were never sent, lost BYEs. The same callers made _make_room close connections of callers with calls; those without a set-up go first now. 161 bad callers were left with no word: exactly the unknown types and malformed parameters, which were only logged. Servers closed shared connections on a set-up with the id 0 and answered 500 four times a call to figures out of range; both are refused here now. An id used twice may not be served: both set-ups fail. Also: ids of calls that are over are kept for a minute, not for 60,000 calls; reads of 8 KiB a turn, accepts of 16.

--- a/pearloom/__main__.py
+++ b/pearloom/__main__.py
@@ -42,7 +42,7 @@
         self._deadline_ms = max(kind.deadline_us for kind in config.settings.classes) / 1000.0
         self.counters = Counters()
         self.exchange = Exchange(clock, config.settings, config.seed, self.counters, config.round_ms)
-        self.callers = Callers(self.exchange, clock, self.counters, config.class_names, config.descriptors)
+        self.callers = Callers(self.exchange, clock, self.counters, config)
         self.servers = SessionServers(self.exchange, clock, self.counters, config.dial_timeout_ms)
         self.exchange.attach(self.callers, self.servers)
         self.exchange.told(api.ListKind.CACHED, cached(config.known))
--- a/pearloom/net/callers.py
+++ b/pearloom/net/callers.py
@@ -11,21 +11,31 @@
 
 from pearloom.net import isup
 from pearloom.net.clock import Clock
-from pearloom.net.config import Address
+from pearloom.net.config import Address, Config
 from pearloom.net.connection import Connection, Letter
 from pearloom.net.counters import Counters
 from pearloom.net.errors import Malformed
-from pearloom.net.exchange import Caller, Exchange, Offer
+from pearloom.net.exchange import FULL_STAY_AWAY_MS, Caller, Exchange, Offer
 from pearloom.net.isup import Cause, Code, Message, Type
 from pearloom.net.logs import note
 
 CONNECTIONS_SHARE = 0.6  # x descriptors: callers hold at most a third; the rest is for servers and files
 BACKLOG = 512
+ACCEPTS_A_TURN = 16  # then those that are connected have their turn
+READ_BYTES = 8 * 1024  # from one caller a turn: at most some hundred set-ups, 20 ms of work
+MOST_OPEN_EACH = 256  # set-ups that one connection may have open
+WATCH_MS = 250.0  # how often connections are looked at
+SILENT_MS = 2000.0  # in which a connection, or a message that has begun, owes a whole message
+UNUSED_MS = 5000.0  # a connection that never brought a set-up is closed after so long without a message
 UNHEARD_MS = 5000.0  # a release whose connection ends within this time, unconfirmed, is sent again
+MOST_DESCRIPTION = 15 * 1024  # bytes: with its headers it has to fit one SIP message
+PATIENCE_SLACK = 2.0  # x the longest deadline: no caller waits longer
 RELEASES_KEPT = 20_000  # releases that wait for a connection
 _NUMBER = re.compile(r"[0-9A-Za-z+*#._-]{1,64}")
 _MILLISECONDS = re.compile(r"[0-9]{1,9}(\.[0-9]{1,6})?")
-_FIGURE = re.compile(r"(?:^|;)\s*([a-z]+)\s*:\s*(-?[0-9]{1,9})\s*(?=;|$)")
+_FIGURES = re.compile(r"[a-z]{1,16}:-?[0-9]{1,9}(;[a-z]{1,16}:-?[0-9]{1,9}){0,15}")
+_FIGURE_BOUNDS = {"dest": (-1, 65535), "width": (1, 8), "via": (-1, 65535), "again": (0, 1)}
+_NO_CALL = "0" * 16
 Release = tuple[str, int]  # call and cause
 
 
@@ -38,14 +48,16 @@
 class CallerConnection:
     """One connection from a caller."""
 
-    def __init__(self, side: Callers, sock: socket.socket) -> None:
+    def __init__(self, side: Callers, sock: socket.socket, now_ms: float) -> None:
         """Take an accepted connection."""
         self._side = side
         self._decoder = isup.Decoder()
         self._peer_ended = False
+        self.heard_ms = now_ms  # when the last whole message came
+        self.spoke = False  # has any come?
         self.open: set[str] = set()  # set-ups that are owed an answer on this connection
         self.unheard: OrderedDict[str, tuple[int, float]] = OrderedDict()  # releases sent: cause, when
-        self.connection = Connection(sock, self._data, self._ended, self._closed)
+        self.connection = Connection(sock, self._data, self._ended, self._closed, READ_BYTES)
 
     # --- exchange.Caller
     def stands(self, call: str, description: bytes) -> None:
@@ -75,6 +87,20 @@
             self.unheard.popitem(last=False)
         self._send_release(call, cause)
 
+    def idle_reason(self, now_ms: float) -> str:
+        """Why this connection may be closed, or nothing.
+
+        Guards against descriptors that silent callers use up. Callers close connections that carry no call
+        themselves after 4 s; one with a set-up open, or with bytes that are still to be read, stays."""
+        still = now_ms - self.heard_ms
+        if self.open or self._peer_ended:
+            return ""
+        if still > SILENT_MS and (self._decoder.inside or not self.spoke):
+            return "no whole message"
+        if still > UNUSED_MS and not self._side.is_talker(self) and not self.connection.unread:
+            return "unused"
+        return ""
+
     def _send_release(self, call: str, cause: int) -> None:
         message = Message(Type.RELEASE, call, {Code.CAUSE: bytes([cause])})
         self._send(Letter(isup.encode(message), call))
@@ -94,13 +120,33 @@
 
     def _data(self, data: bytes) -> None:
         for message in self._decoder.feed(data):
-            if isinstance(message, Malformed):
-                self._side.counters.add("malformed_from_callers")
-                note(logging.WARNING, "caller_malformed", reason=message.reason, closed=message.fatal)
-                if message.fatal:
-                    self.connection.close("malformed")
-            else:
+            self.heard_ms, self.spoke = self._side.now_ms(), True
+            if not isinstance(message, Malformed):
                 self._message(message)
+            elif message.fatal:
+                self._malformed(message)
+                self._expel()
+            elif not self._malformed(message).is_open(message.call):
+                # Guards against a caller that waits for a word on what could not be read.
+                self._send_release(message.call, Cause.INVALID_SET_UP)
+
+    def _malformed(self, message: Malformed) -> Exchange:
+        self._side.counters.add("malformed_from_callers")
+        note(
+            logging.WARNING,
+            "caller_malformed",
+            reason=message.reason,
+            call=message.call,
+            closed=message.fatal,
+        )
+        return self._side.exchange
+
+    def _expel(self) -> None:
+        """Nothing more can be read here: answer what is open, then close."""
+        for call in list(self.open):
+            self._side.exchange.left(call, Cause.NORMAL)
+            self.failed(call)
+        self.connection.finish()
 
     def _message(self, message: Message) -> None:
         match message.type:
@@ -121,11 +167,22 @@
             case Type.PROGRESS | Type.GROUP_STATE | Type.TESTED:
                 pass
             case _:
+                self._side.counters.add("malformed_from_callers")
                 note(logging.WARNING, "caller_unknown_type", type=message.type, call=message.call)
+                if not self._side.exchange.is_open(message.call):
+                    self._send_release(message.call, Cause.UNKNOWN_TYPE)
 
     def _set_up(self, message: Message) -> None:
-        if self._side.exchange.is_open(message.call):
+        exchange = self._side.exchange
+        if exchange.is_open(message.call) or exchange.is_over(message.call):
+            # Guards against an answer or a release that would be taken for that of another set-up.
+            self._side.counters.add("bad_set_ups")
             note(logging.WARNING, "caller_duplicate", call=message.call)
+            if message.call in self.open:
+                # Neither of the two can be told from the other: none may be served.
+                exchange.left(message.call, Cause.NORMAL)
+                self.open.discard(message.call)
+            self._send_release(message.call, Cause.INVALID_SET_UP)
             return
         offer = self._side.read_offer(message)
         if offer is None:
@@ -133,8 +190,14 @@
             self._side.counters.add("bad_set_ups")
             self._send_release(message.call, Cause.INVALID_SET_UP)
             return
+        self._side.talked(self)
+        if len(self.open) >= MOST_OPEN_EACH:
+            # Guards against one connection that takes what all callers share.
+            self._side.counters.add("refused_unseen")
+            self.refused(message.call, FULL_STAY_AWAY_MS)
+            return
         self.open.add(message.call)
-        self._side.exchange.offered(offer, self)
+        exchange.offered(offer, self)
 
     def _ended(self) -> None:
         # Guards against losing set-ups of a caller that closed its sending half alone: they are answered.
@@ -143,7 +206,7 @@
             self.connection.finish()
 
     def _closed(self, reason: str, unsent: list[Letter]) -> None:
-        if reason != "done":
+        if self.open or unsent:
             note(logging.INFO, "caller_closed", reason=reason, open=len(self.open), unsent=len(unsent))
         self._side.forget(self)
         for call in list(self.open):
@@ -157,19 +220,28 @@
 class Callers:
     """Listens for callers and spreads what is to be told to them."""
 
-    def __init__(
-        self, exchange: Exchange, clock: Clock, counters: Counters, class_names: tuple[str, ...], sockets: int
-    ) -> None:
+    def __init__(self, exchange: Exchange, clock: Clock, counters: Counters, config: Config) -> None:
         """Listen to nobody yet."""
         self.exchange = exchange
         self.counters = counters
         self.stopping = False
         self._clock = clock
-        self._kinds = {name: number for number, name in enumerate(class_names)}
-        self._most = int(CONNECTIONS_SHARE * sockets)
+        self._kinds = {name: number for number, name in enumerate(config.class_names)}
+        self._figure_bounds = {**_FIGURE_BOUNDS, "width": (1, config.most_width)}
+        self._most_patience_ms = (
+            PATIENCE_SLACK * max(kind.deadline_us for kind in config.settings.classes) / 1000.0
+        )
+        self._most = int(CONNECTIONS_SHARE * config.descriptors)
         self._connections: dict[CallerConnection, None] = {}
+        self._talkers: OrderedDict[CallerConnection, None] = (
+            OrderedDict()
+        )  # the last to bring a set-up is last
         self._unsent: deque[Release] = deque(maxlen=RELEASES_KEPT)
 
+    def now_ms(self) -> float:
+        """The time."""
+        return self._clock.now_ms()
+
     def listen(self, address: Address) -> Address:
         """Open the listening socket, take connections from now on, and return where."""
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -177,10 +249,12 @@
         sock.bind(address)
         sock.listen(BACKLOG)
         gevent.spawn(self._accept, sock)
+        self._watch()
         host, port = sock.getsockname()
         return host, port
 
     def _accept(self, listener: socket.socket) -> None:
+        accepted = 0
         while True:
             try:
                 sock, _ = listener.accept()
@@ -189,22 +263,51 @@
                 note(logging.ERROR, "accept_failed", errno=trouble.errno)
                 gevent.sleep(0.05)
                 continue
-            self._make_room()
-            caller = CallerConnection(self, sock)
-            self._connections[caller] = None
             self.counters.add("caller_connections")
-            caller.connection.start()
-            while self._unsent and not caller.connection.closed:
-                caller.release(*self._unsent.popleft(), self._clock.now_ms())
-
-    def _make_room(self) -> None:
-        """Guards against running out of descriptors: the oldest connections without a set-up go first."""
+            if self._make_room():
+                caller = CallerConnection(self, sock, self.now_ms())
+                self._connections[caller] = None
+                caller.connection.start()
+                while self._unsent and not caller.connection.closed:
+                    caller.release(*self._unsent.popleft(), self.now_ms())
+            else:
+                sock.close()
+            accepted += 1
+            if accepted % ACCEPTS_A_TURN == 0:
+                # Guards against hundreds of new connections that keep all others from their turn.
+                gevent.sleep(0)
+
+    def _make_room(self) -> bool:
+        """Guards against running out of descriptors: those go first that never brought a set-up, oldest
+        first, then the one whose last set-up is longest ago. Where all have set-ups open there is no room."""
         if len(self._connections) < self._most:
-            return
-        idle = next((caller for caller in self._connections if not caller.open), None)
-        oldest = idle or next(iter(self._connections))
-        note(logging.WARNING, "caller_connections_full", most=self._most, open=len(oldest.open))
-        oldest.connection.close("too many connections")
+            return True
+        silent = (caller for caller in self._connections if caller not in self._talkers)
+        for caller in (*silent, *self._talkers):
+            if not caller.open and not caller.connection.unread:
+                self.counters.add("caller_connections_closed")
+                caller.connection.close("too many connections")
+                return True
+        note(logging.WARNING, "caller_connections_full", most=self._most)
+        return False
+
+    def _watch(self) -> None:
+        """Called now and then: close what says nothing."""
+        now = self.now_ms()
+        for caller in list(self._connections):
+            if reason := caller.idle_reason(now):
+                self.counters.add("caller_connections_closed")
+                caller.connection.close(reason)
+        self.exchange.after_ms(WATCH_MS, self._watch)
+
+    def talked(self, caller: CallerConnection) -> None:
+        """A connection brought a set-up; releases that have no connection of their own go there."""
+        self._talkers[caller] = None
+        self._talkers.move_to_end(caller)
+
+    def is_talker(self, caller: CallerConnection) -> bool:
+        """Has it brought a set-up?"""
+        return caller in self._talkers
 
     def read_offer(self, message: Message) -> Offer | None:
         """The set-up in a message, or None where it lacks what a set-up needs."""
@@ -212,20 +315,33 @@
         patience = message.text(Code.PATIENCE_MS) or ""
         number = message.text(Code.NUMBER) or ""
         kind = self._kinds.get(name or "")
+        description = message.parameters.get(Code.DESCRIPTION, b"")
         if name is None or kind is None or not _MILLISECONDS.fullmatch(patience):
             return None
-        if not _NUMBER.fullmatch(number):
+        # Guards against figures that no call can have: a server would fail the set-up, or close on it a
+        # connection that others share.
+        if message.call == _NO_CALL or not _NUMBER.fullmatch(number) or len(description) > MOST_DESCRIPTION:
+            return None
+        if not 0 < float(patience) <= self._most_patience_ms:
+            return None
+        told = message.text(Code.FIGURES) if Code.FIGURES in message.parameters else ""
+        if told is None or (told and not _FIGURES.fullmatch(told)):
             return None
-        figures = dict(_FIGURE.findall(message.text(Code.FIGURES) or ""))
+        figures = {
+            key: int(value) for key, _, value in (pair.partition(":") for pair in told.split(";") if pair)
+        }
+        for key, (least, most) in self._figure_bounds.items():
+            if not least <= figures.get(key, least) <= most:
+                return None
         return Offer(
             call=message.call,
             kind=kind,
             class_name=name,
             number=number,
-            description=message.parameters.get(Code.DESCRIPTION, b""),
+            description=description,
             patience_ms=float(patience),
-            first_choice=int(figures.get("dest", -1)),
-            was_cut=figures.get("again") == "1",
+            first_choice=figures.get("dest", -1),
+            was_cut=figures.get("again") == 1,
         )
 
     # --- exchange.CallerSide
@@ -239,7 +355,8 @@
         if isinstance(caller, CallerConnection) and not caller.connection.closed:
             chosen: CallerConnection | None = caller
         else:
-            chosen = next(reversed(self._connections), None)
+            # Guards against connections that never brought a call: nobody may be listening there.
+            chosen = next(reversed(self._talkers), None) or next(reversed(self._connections), None)
         if chosen is None:
             self._unsent.append((call, cause))
         else:
@@ -248,6 +365,7 @@
     def forget(self, caller: CallerConnection) -> None:
         """A connection has ended."""
         self._connections.pop(caller, None)
+        self._talkers.pop(caller, None)
 
     def again(self, unheard: OrderedDict[str, tuple[int, float]]) -> None:
         """Guards against a release that was written to a connection which then broke."""
--- a/pearloom/net/config.py
+++ b/pearloom/net/config.py
@@ -52,6 +52,7 @@
     known: tuple[ListUpdate, ...]
     settings: api.Settings
     class_names: tuple[str, ...]
+    most_width: int
     dial_timeout_ms: float
     round_ms: float
     descriptors: int
@@ -102,6 +103,10 @@
             known=updates,
             settings=read_settings(params),
             class_names=tuple(str(service["name"]) for service in told["settings"]["services"]),
+            most_width=max(
+                (int(width) for width in told["settings"].get("specifics", {}).get("channelsNeeded", ())),
+                default=1,
+            ),
             dial_timeout_ms=float(params.get("limits.dialTimeoutUs", 500_000)) / 1000.0,
             round_ms=max(float(params.get("roundUs", 1000)) / 1000.0, 1.0),
             descriptors=int(told.get("limits", {}).get("sockets", 1024)),
--- a/pearloom/net/connection.py
+++ b/pearloom/net/connection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import select
 import socket as plain_socket
 from collections import deque
 from collections.abc import Callable
@@ -41,11 +42,13 @@
         on_data: Callable[[bytes], None],
         on_end: Callable[[], None],
         on_close: Callable[[str, list[Letter]], None],
+        read_bytes: int = READ_BYTES,
     ) -> None:
         """`on_end`: the peer sends no more. `on_close`: all is over; what was not written comes with it."""
         sock.setsockopt(plain_socket.IPPROTO_TCP, plain_socket.TCP_NODELAY, 1)
         self._sock = sock
         self._on_data, self._on_end, self._on_close = on_data, on_end, on_close
+        self._read_bytes = read_bytes
         self._queue: deque[Letter] = deque()
         self._queued = 0
         self._sent_of_first = 0  # bytes of the first letter that have left
@@ -97,13 +100,23 @@
             crashed("connection_failed")
             self.close("failed here")
 
+    @property
+    def unread(self) -> bool:
+        """Has something come that was not read yet?"""
+        return not self.closed and bool(select.select([self._sock], [], [], 0)[0])
+
     def _read(self) -> None:
-        while not self.closed:
-            data = self._sock.recv(READ_BYTES)
+        while not self.closed and not self._finishing:
+            data = self._sock.recv(self._read_bytes)
+            if self._finishing and data:
+                return
             if not data:
                 self._on_end()
                 return
             self._on_data(data)
+            if len(data) == self._read_bytes:
+                # Guards against a peer that writes without end and keeps all others from their turn.
+                gevent.sleep(0)
 
     def _write(self) -> None:
         while not self.closed:
--- a/pearloom/net/errors.py
+++ b/pearloom/net/errors.py
@@ -48,3 +48,4 @@
 
     reason: str
     fatal: bool
+    call: str = ""  # the call that it was about, where that can be read
--- a/pearloom/net/exchange.py
+++ b/pearloom/net/exchange.py
@@ -25,7 +25,8 @@
 # Q.850 causes, the words in which all telephone protocols say why a call is over.
 CAUSE_NORMAL = 16
 CAUSE_CUT = 41
-REMEMBERED = 60_000  # calls of this life that are over: a quarter of a minute of the worst rate seen
+REMEMBERED = 20_000  # calls of this life that are over, at most
+REMEMBERED_MS = 60_000.0  # for so long: a memory that grows all day is one that runs out
 MOST_OPEN = 8_000  # calls that may wait for their answer; the memory is small
 MOST_DESCRIBED = 32 << 20  # bytes of descriptions held for them
 FULL_STAY_AWAY_MS = 1000.0
@@ -128,7 +129,7 @@
         self._module_us = 0
         self._calls: dict[str, Call] = {}
         self._standing: dict[str, dict[str, Call]] = {}
-        self._over: OrderedDict[str, None] = OrderedDict()
+        self._over: OrderedDict[str, float] = OrderedDict()
         self._open = 0
         self._described = 0
         self._events: deque[api.Event] = deque()
@@ -165,6 +166,10 @@
         """Is this call held here, unanswered or standing?"""
         return call in self._calls
 
+    def is_over(self, call: str) -> bool:
+        """Was this call here not long ago?"""
+        return call in self._over
+
     # --- from the callers -----------------------------------------------------------------------------------
     def offered(self, offer: Offer, caller: Caller) -> None:
         """A new set-up."""
@@ -174,7 +179,6 @@
             self._counters.add("refused_unseen")
             caller.refused(offer.call, FULL_STAY_AWAY_MS)
             return
-        self._over.pop(offer.call, None)
         self._calls[offer.call] = Call(offer, caller)
         self._open += 1
         self._described += len(offer.description)
@@ -427,6 +431,7 @@
 
     def _remember(self, name: str) -> None:
         """Keep the id of a call that is over, so that a late release of it goes to nobody."""
-        self._over[name] = None
-        while len(self._over) > REMEMBERED:
+        now = self._clock.now_ms()
+        self._over[name] = now
+        while len(self._over) > REMEMBERED or next(iter(self._over.values())) < now - REMEMBERED_MS:
             self._over.popitem(last=False)
--- a/pearloom/net/isup.py
+++ b/pearloom/net/isup.py
@@ -52,6 +52,7 @@
     TEMPORARY_FAILURE = 41
     CONGESTION = 42
     INVALID_SET_UP = 96
+    UNKNOWN_TYPE = 97
 
 
 @dataclass(slots=True)
@@ -89,6 +90,11 @@
         """Start between two messages."""
         self._buffer = bytearray()
 
+    @property
+    def inside(self) -> bool:
+        """Has a message begun that is not whole yet?"""
+        return bool(self._buffer)
+
     def feed(self, data: bytes) -> list[Message | Malformed]:
         """Take bytes and return what they complete; nothing follows a fatal value."""
         self._buffer += data
@@ -115,11 +121,11 @@
     at = _HEAD.size
     while at < len(frame):
         if len(frame) - at < _PARAMETER.size:
-            return Malformed(f"call {call.hex()}: a parameter is cut short", fatal=False)
+            return Malformed("a parameter is cut short", fatal=False, call=call.hex())
         code, length = _PARAMETER.unpack_from(frame, at)
         at += _PARAMETER.size
         if len(frame) - at < length:
-            return Malformed(f"call {call.hex()}: parameter {code} is longer than its message", fatal=False)
+            return Malformed(f"parameter {code} is longer than its message", fatal=False, call=call.hex())
         parameters[code] = frame[at : at + length]
         at += length
     return Message(kind, call.hex(), parameters)
