Spread set-ups over connections, drop mute and spoilt ones; a lost set-up shuts no gate

Also one set-up without an answer shut its pool's gate for all (policy.py, _excess: the oldest wait counted even after later set-ups had been answered). Players in tests now end what they started.

--- a/pearloom/net/errors.py
+++ b/pearloom/net/errors.py
@@ -30,6 +30,7 @@
     ending: Ending | None = None
     processor_full: bool = False
     no_line: bool = False
+    line_only: bool = False  # its connection ended; that says nothing of the server
 
     def proves(self) -> Ending:
         """The ending that this error stands for.
--- a/pearloom/net/exchange.py
+++ b/pearloom/net/exchange.py
@@ -396,6 +396,7 @@
             call_over=call.answered,
             processor_full=error is not None and error.processor_full,
             no_line=error is not None and error.no_line,
+            line_only=error is not None and error.line_only,
         )
         self._forget(call)
         self._tell(event)
--- a/pearloom/net/session_servers.py
+++ b/pearloom/net/session_servers.py
@@ -4,7 +4,9 @@
 
 import logging
 import math
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
+from dataclasses import replace
+from typing import TypeVar
 
 import gevent
 from gevent import socket
@@ -20,13 +22,19 @@
 from pearloom.net.logs import crashed, note
 from pearloom.settings import read_report
 
-WATCH_MS = 250.0  # how often connections are looked at
+WATCH_MS = 100.0  # how often connections are looked at
+CUT_SHORT_MS = 300.0  # a message that has begun is whole by then, or never
+MUTE_FROM_MS = 100.0  # a set-up given up later than this, with no word on its connection since, tells of it
+MUTE_MS = 1000.0  # a connection that left a set-up unanswered and says nothing for so long is closed
+SHARED = 1  # set-ups open on each connection from which on another one is opened
 QUIET_MS = 2500.0  # with calls standing, a server silent for so long gets a new connection
 DEAD_DIALS = 2  # dials in a row that never came up: with QUIET_MS, the machine is gone
 REDIAL_MS = 250.0  # pause between dials while calls stand at a server
 BYE_KEPT_MS = 5000.0  # a BYE whose connection ends within this time, unanswered, is sent again
-MOST_LINKS = 4  # connections to one server
-GIVEN_UP_KEPT = 1000  # set-ups given up whose last answer may still come
+MOST_LINKS = 8  # connections to one server: what one of them breaks is an eighth of what is open
+GIVEN_UP_KEPT_MS = 20_000.0  # a set-up given up whose last answer may still come
+
+T = TypeVar("T")
 
 # How a refusal counts; any other status from 300 on is an error.
 _STATUS_ENDINGS = {
@@ -54,12 +62,13 @@
 class _SetUpLetter(Letter):
     """An INVITE; on its way or waiting for its answer."""
 
-    __slots__ = ("link", "set_up")
+    __slots__ = ("link", "sent_ms", "set_up")
 
     def __init__(self, data: bytes, set_up: SetUp) -> None:
         super().__init__(data, set_up.offer.call)
         self.set_up = set_up
         self.link: Link | None = None
+        self.sent_ms = 0.0  # when it was given to its connection
 
 
 class Link:
@@ -69,21 +78,42 @@
         """Take a connection that has come up."""
         self._trunk = trunk
         self._decoder = sip.Decoder()
+        self._inside_ms = math.inf  # since when a message has begun and is not whole
         self.opened_ms = self.heard_ms = now_ms
+        self.mute_ms = math.inf  # since when a set-up was given up on it that it never said a word after
+        self.open: dict[str, _SetUpLetter] = {}
         self.connection = Connection(sock, self._data, self._ended, self._closed)
 
     def send(self, letter: Letter) -> None:
         """Queue a message."""
         self.connection.send(letter)
 
+    def watch(self, now_ms: float) -> None:
+        """Guards against answers that break off or never end, and connections that nothing comes of."""
+        if now_ms - self._inside_ms > CUT_SHORT_MS:
+            self._malformed(Malformed("cut short", fatal=True))
+        elif now_ms - self.mute_ms > MUTE_MS and not self.open:
+            self.connection.close("mute")
+
     def _data(self, data: bytes) -> None:
         for message in self._decoder.feed(data):
             if isinstance(message, Malformed):
-                self._trunk.malformed(message)
-                if message.fatal:
-                    self.connection.close("malformed")
-            else:
-                self._trunk.message(self, message)
+                self._malformed(message)
+                return
+            if isinstance(message, sip.Response) and message.is_answer and not message.body:
+                self._malformed(Malformed("answer without a description", fatal=True))
+                return
+            self.mute_ms = math.inf
+            self._trunk.message(self, message)
+        if not self._decoder.inside:
+            self._inside_ms = math.inf
+        elif self._inside_ms == math.inf:
+            self._inside_ms = self._trunk.now_ms
+
+    def _malformed(self, message: Malformed) -> None:
+        # Guards against reading on after noise: whatever else is open here gets no answer any more.
+        self._trunk.malformed(replace(message, fatal=True))
+        self.connection.close("malformed")
 
     def _ended(self) -> None:
         self.connection.close("closed by server")
@@ -102,11 +132,12 @@
         self.name = server.entry.server
         self.server = server
         self._links: list[Link] = []
+        self._dead = False  # while its connections are closed since it is dead
         self._dialling = False
         self._failed_dials = 0
         self._waiting: list[Letter] = []
         self._set_ups: dict[str, _SetUpLetter] = {}
-        self._given_up: dict[str, _SetUpLetter] = {}
+        self._given_up: dict[str, tuple[str, int, float]] = {}  # call: number, CSeq, when
         self._byes: dict[str, tuple[Letter, float]] = {}
         self._heard_ms = side.clock.now_ms()  # the last sign of life
         self._owing_ms = self._heard_ms  # since when it owes anything
@@ -127,6 +158,11 @@
         busy = self._owing or self._dialling or self._waiting
         return self.server.entry.state is PoolState.GONE and not busy
 
+    @property
+    def now_ms(self) -> float:
+        """The time."""
+        return self._side.clock.now_ms()
+
     @property
     def _quiet_ms(self) -> float:
         """For how long it has owed something and said nothing."""
@@ -151,15 +187,19 @@
         letter = self._set_ups.pop(call, None)
         if letter is None:
             return Progress.NOT_DIALLED
+        if letter.link is not None:
+            letter.link.open.pop(call, None)
         if letter.progress < Progress.PARTLY_SENT:
             letter.withdrawn = True
         elif letter.link is not None:
             self._side.counters.add("cancels_out")
-            offer, sequence = letter.set_up.offer, letter.set_up.attempt + 1
+            now, offer, sequence = self.now_ms, letter.set_up.offer, letter.set_up.attempt + 1
             letter.link.send(Letter(sip.encode_request("CANCEL", offer.number, call, sequence, {})))
-            self._given_up[call] = letter
-            if len(self._given_up) > GIVEN_UP_KEPT:
-                del self._given_up[next(iter(self._given_up))]
+            if letter.link.heard_ms <= letter.sent_ms < now - MUTE_FROM_MS:
+                letter.link.mute_ms = min(letter.link.mute_ms, now)
+            self._given_up.pop(call, None)
+            self._given_up[call] = (offer.number, sequence, now)
+            _drop_old(self._given_up, now - GIVEN_UP_KEPT_MS, lambda kept: kept[2])
         return letter.progress
 
     def withdraw_unsent(self) -> None:
@@ -172,9 +212,10 @@
         """Send a BYE."""
         self._side.counters.add("byes_out")
         letter = Letter(sip.encode_request("BYE", number, call, 2, {"Reason": f"Q.850;cause={cause}"}), call)
-        now = self._side.clock.now_ms()
-        self._byes = {key: bye for key, bye in self._byes.items() if bye[1] > now - BYE_KEPT_MS}
+        now = self.now_ms
+        self._byes.pop(call, None)
         self._byes[call] = (letter, now)
+        _drop_old(self._byes, now - BYE_KEPT_MS, lambda kept: kept[1])
         self._send(letter)
 
     def update(self, server: Server) -> None:
@@ -191,13 +232,29 @@
 
     # --- connections ----------------------------------------------------------------------------------------
     def _send(self, letter: Letter) -> None:
-        if self._links:
-            if isinstance(letter, _SetUpLetter):
-                letter.link = self._links[-1]
-            self._links[-1].send(letter)
-        else:
+        """Guards against a connection that takes set-ups and says nothing, and so looks like a silent server:
+        a mute one gets no further set-up until it speaks again."""
+        speaking = [link for link in self._links if link.mute_ms == math.inf]
+        best = min(speaking, key=lambda link: len(link.open), default=None)
+        if best is None or len(best.open) >= SHARED:
+            self._dial_another()
+        if best is None and not isinstance(letter, _SetUpLetter):
+            best = next(reversed(self._links), None)
+        if best is None:
             self._waiting.append(letter)
-            self.dial()
+            return
+        if isinstance(letter, _SetUpLetter):
+            letter.link, letter.sent_ms = best, self.now_ms
+            best.open[letter.call] = letter
+        best.send(letter)
+
+    def _dial_another(self) -> None:
+        if len(self._links) >= MOST_LINKS:
+            mute = next((link for link in self._links if link.mute_ms < math.inf and not link.open), None)
+            if mute is None:
+                return
+            mute.connection.close("mute")
+        self.dial()
 
     def dial(self) -> None:
         """Open a connection; what waits goes out on it."""
@@ -229,7 +286,6 @@
         for letter in waiting:
             if not letter.withdrawn:
                 self._send(letter)
-        self._close_spare_links()
 
     def _dial_failed(self, refused: bool, reason: str) -> None:
         note(logging.INFO, "dial_failed", server=self.name, refused=refused, reason=reason)
@@ -264,34 +320,33 @@
         self._waiting = [letter for letter in self._waiting if isinstance(letter, _SetUpLetter)]
         self._byes.clear()
         self._exchange.server_lost(self.name, self._side.clock.now_ms() + 1, reason)
+        self._dead = True
         for link in list(self._links):
             link.connection.close(reason)
+        self._dead = False
 
     def close(self) -> None:
         """Close all connections of a server that is gone."""
         for link in list(self._links):
             link.connection.finish()
 
-    def _close_spare_links(self) -> None:
-        """Close all but the newest, as far as no set-up is open on them."""
-        used = {id(letter.link) for letter in self._set_ups.values()}
-        spare = [link for link in self._links[:-1] if id(link) not in used]
-        for link in spare or self._links[:-MOST_LINKS]:
-            link.connection.finish()
-
     def link_closed(self, link: Link, reason: str, unsent: list[Letter]) -> None:
         """A connection is over: so are the set-ups on it, but not the calls that stand."""
         if link in self._links:
             self._links.remove(link)
         if reason != "done":
             note(logging.INFO, "server_closed", server=self.name, reason=reason)
-        for set_up in [one for one in self._set_ups.values() if one.link is link]:
-            self._failed(set_up, AttemptError(set_up.progress, reason))
-        since = self._side.clock.now_ms() - BYE_KEPT_MS
+        for set_up in list(link.open.values()):
+            self._failed(set_up, AttemptError(set_up.progress, reason, line_only=not self._dead))
+        since = self.now_ms - BYE_KEPT_MS
         again = [letter for letter, sent_ms in self._byes.values() if sent_ms >= since]
         if self._links:
             for letter in again:
                 self._send(letter)
+            if self._exchange.standing_at(self.name) and not self._dead:
+                # Guards against a release that was written to the connection that ended: the server sends it
+                # again on the next one that is opened.
+                self._dial_another()
             return
         self._waiting += [letter for letter in again if letter not in self._waiting]
         if self._exchange.standing_at(self.name) or self._waiting:
@@ -303,6 +358,8 @@
 
     def watch(self) -> None:
         """Called now and then: has a server that owes something fallen silent?"""
+        for link in list(self._links):
+            link.watch(self.now_ms)
         if not self._owing:
             return
         is_gone = self.server.entry.state is PoolState.GONE
@@ -369,9 +426,21 @@
         if response.method != "INVITE" or response.status < 200:
             return
         letter = self._set_ups.get(call)
-        known = letter or self._given_up.pop(call, None)
-        number = known.set_up.offer.number if known is not None else "unknown"
-        sequence = known.set_up.attempt + 1 if known is not None else 1
+        if letter is not None and letter.link is not link:
+            # Guards against what comes late of an attempt before this one.
+            note(logging.INFO, "server_late_answer", server=self.name, call=call, status=response.status)
+            return
+        if letter is not None:
+            number, sequence = letter.set_up.offer.number, letter.set_up.attempt + 1
+        elif call in self._given_up:
+            number, sequence, _ = self._given_up.pop(call)
+        elif self._exchange.is_open(call) or self._exchange.is_over(call):
+            number, sequence = "unknown", 1
+        else:
+            # Guards against an answer under an id that nobody sent.
+            self._side.counters.add("unknown_from_servers")
+            note(logging.WARNING, "server_unknown_call", server=self.name, call=call, status=response.status)
+            return
         link.send(Letter(sip.encode_request("ACK", number, call, sequence, {})))
         if response.status >= 300:
             if letter is not None:
@@ -379,6 +448,7 @@
             return
         if letter is not None:
             del self._set_ups[call]
+            link.open.pop(call, None)
             letter.progress = Progress.ANSWERED
             if self._exchange.stands(call, letter.set_up.attempt, response.body):
                 return
@@ -389,6 +459,8 @@
     def _failed(self, letter: _SetUpLetter, error: AttemptError) -> None:
         if self._set_ups.get(letter.call) is letter:
             del self._set_ups[letter.call]
+            if letter.link is not None:
+                letter.link.open.pop(letter.call, None)
             self._exchange.attempt_ended(letter.call, letter.set_up.attempt, error)
 
 
@@ -470,6 +542,12 @@
                 trunk.release(call, number, cause)
 
 
+def _drop_old(kept: dict[str, T], before_ms: float, when: Callable[[T], float]) -> None:
+    """Drop what was kept first, as far as it is older."""
+    while kept and when(kept[oldest := next(iter(kept))]) < before_ms:
+        del kept[oldest]
+
+
 def gone(server: Server) -> Server:
     """The same server, gone."""
     entry = server.entry
--- a/pearloom/net/sip.py
+++ b/pearloom/net/sip.py
@@ -13,6 +13,7 @@
 _COMPACT = {"i": "call-id", "l": "content-length", "v": "via"}
 _CALL = re.compile(r"[0-9a-f]{16}")
 _VERSION = "SIP/2.0"
+_START = re.compile(rb"[A-Z]+(/|/2|/2\.|/2\.0)?( |\Z)|\r(\n|\Z)")  # how a message, or a part of one, begins
 
 
 @dataclass(slots=True)
@@ -38,6 +39,11 @@
         """The method that it answers."""
         return self.headers.get("cseq", "").partition(" ")[2].strip().upper()
 
+    @property
+    def is_answer(self) -> bool:
+        """Does it say that a call stands?"""
+        return 200 <= self.status < 300 and self.method == "INVITE"
+
 
 def call_of(message: Request | Response) -> str | None:
     """The call that a message names, or None where it names none."""
@@ -82,6 +88,11 @@
         """Start between two messages."""
         self._buffer = bytearray()
 
+    @property
+    def inside(self) -> bool:
+        """Has a message begun that is not whole yet?"""
+        return bool(self._buffer)
+
     def feed(self, data: bytes) -> list[Request | Response | Malformed]:
         """Take bytes and return what they complete; nothing follows a fatal value."""
         self._buffer += data
@@ -106,6 +117,10 @@
                 return found
             body = bytes(self._buffer[end + len(_END) : whole])
             del self._buffer[:whole]
+            if self._buffer and not _START.match(self._buffer):
+                # Guards against passing on a description that was cut by a length that does not fit.
+                found.append(Malformed(f"{bytes(self._buffer[:20])!r} follows a message", fatal=True))
+                return found
             found.append(Malformed(trouble, fatal=False) if trouble else _message(head[0], headers, body))
 
 
--- a/pearloom/policy.py
+++ b/pearloom/policy.py
@@ -249,7 +249,8 @@
             self._back(call)
         if pool is not None:
             self._reported(event.server, event.report)
-            self._judge(pool, event, call.stands)
+            if not event.line_only:
+                self._judge(pool, event, call.stands)
         if event.call_over:
             call.answered = True
         if event.ending in (Ending.TIMED_OUT, Ending.RESET, Ending.CANCELLED):
@@ -346,11 +347,9 @@
             if pool.heard_at >= 0
             else 0.0
         )
-        if pool.out:
-            return max(
-                excess, self._now - next(iter(pool.out.values())) - pool.base_us
-            )  # the oldest is first
-        return excess
+        # Guards against one set-up that was lost alone: others have passed it, so its wait is not the line's.
+        oldest = next((sent for sent in pool.out.values() if sent >= pool.answered_sent), self._now)
+        return max(excess, self._now - oldest - pool.base_us)
 
     def _own_turn(self, pool: Pool) -> float:
         """Time in which this proxy has one call for the pool if pools take calls by their size, us.
--- a/tests/player.py
+++ b/tests/player.py
@@ -4,7 +4,8 @@
 Who: `c1`, `c2` … callers, `s1`, `s2` … session servers, `co` and `cp` coordinators, `clock` (milliseconds
 to go on), `log` (a line expected), `unseen` (a line that must not have come), `sighup` (the configuration is
 read again and names that coordinator; `spoilt`: it can't be used). Verbs: `>` sent to the softswitch,
-`<` expected from it, next and exactly; `opens` (a caller connects, a server accepts), `ends` (half-close),
+`<` expected from it, next and exactly; `opens` (a caller connects, a server accepts; the
+rest is another name for the new connection), `ends` (half-close),
 `resets`, `closed` (expected of the softswitch), `stops` (no longer listens), `mutes` (new connections never
 come up).
 Bytes: bare words are hex, "…" is text with escapes, (…) has its length before it in two bytes, […] in four.
@@ -13,6 +14,7 @@
 
 from __future__ import annotations
 
+import gc
 import json
 import logging
 import re
@@ -107,6 +109,11 @@
         self.softswitch.servers.start()
         self.softswitch.coordinator.start()
 
+    def close(self) -> None:
+        """End all greenlets, so that nothing of this test dials an address that a later one has."""
+        logging.getLogger("pearloom").removeHandler(self.lines)
+        gevent.killall([one for one in gc.get_objects() if isinstance(one, gevent.Greenlet)])
+
     @staticmethod
     def listen(address: tuple[str, int] = ("127.0.0.1", 0)) -> socket.socket:
         listener = socket.socket()
@@ -157,7 +164,7 @@
         elif verb == "opens" and who not in self.listeners:
             self.peers[who] = socket.create_connection(self.address)
         elif verb == "opens":
-            self.peers[who] = self.listeners[who].accept()[0]
+            self.peers[rest or who] = self.listeners[who].accept()[0]
         elif verb == ">":
             self.peers[who].sendall(encode(self.filled(rest)))
         elif verb == "<":
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -13,7 +13,11 @@
 
 @pytest.mark.parametrize("path", RECORDINGS, ids=lambda path: path.stem)
 def test_recording(path: Path, tmp_path: Path) -> None:
-    Player(tmp_path).play(path)
+    player = Player(tmp_path)
+    try:
+        player.play(path)
+    finally:
+        player.close()
 
 
 def test_recordings_are_found() -> None:
