--- a/pearloom/net/session_servers.py
+++ b/pearloom/net/session_servers.py
@@ -28,7 +28,10 @@
 MUTE_MS = 1000.0  # a connection that left a set-up unanswered and says nothing for so long is closed
 SHARED = 1  # set-ups open on each connection from which on another one is opened
 QUIET_MS = 2500.0  # with calls standing, a server silent for so long gets a new connection
-DEAD_DIALS = 2  # dials in a row that never came up: with QUIET_MS, the machine is gone
+DEAD_DIALS = 2  # dials in a row that never came up: with LOST_MS, what stands there is given up
+# A machine that is cut off keeps its calls, and the end of those of a dead one is owed within 8 s: as late as
+# that allows, with 0.75 s for a dial.
+LOST_MS = 6500.0
 REDIAL_MS = 250.0  # pause between dials while calls stand at a server
 BYE_KEPT_MS = 5000.0  # a BYE whose connection ends within this time, unanswered, is sent again
 MOST_LINKS = 8  # connections to one server: what one of them breaks is an eighth of what is open
@@ -306,7 +309,7 @@
         # may be a lost packet, so it takes two, and a silence.
         if refused and not self._links:
             self._lost("refused")
-        elif self._failed_dials >= DEAD_DIALS and self._quiet_ms >= QUIET_MS:
+        elif self._failed_dials >= DEAD_DIALS and self._quiet_ms >= LOST_MS:
             self._lost("silent")
         elif self._exchange.standing_at(self.name) or self._waiting:
             self._side.exchange.after_ms(REDIAL_MS, self._redial)
@@ -374,6 +377,9 @@
         elif not is_gone and self._quiet_ms >= QUIET_MS:
             # Guards against a machine that vanished: its connections stay open and say nothing, and only a
             # new one, which never comes up, tells it from one whose processor hangs.
+            unused = next((link for link in self._links if not link.open), None)
+            if len(self._links) >= MOST_LINKS and unused is not None:
+                unused.connection.close("spare")
             self.dial()
 
     # --- messages -------------------------------------------------------------------------------------------
