--- a/pearloom/net/logs.py
+++ b/pearloom/net/logs.py
@@ -7,6 +7,8 @@
 from datetime import UTC, datetime
 
 log = logging.getLogger("pearloom")
+LINES_AT_ONCE = 20.0  # of one event
+LINES_A_SECOND = 2.0
 _ESCAPES = str.maketrans({"\\": "\\\\", '"': '\\"', "\n": "\\n", "\r": "\\r", "\t": "\\t"})
 
 
@@ -26,6 +28,30 @@
         return " ".join(f"{key}={_value(value)}" for key, value in pairs.items())
 
 
+class Limit(logging.Filter):
+    """Lets each event through a few times a second, and says on the next line how many were left out.
+
+    Guards against a bad caller or server that fills the log."""
+
+    def __init__(self) -> None:
+        """Nothing has been seen."""
+        super().__init__()
+        self._left: dict[str, tuple[float, float, int]] = {}  # lines left, when, how many were left out
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        """Is this line to be written?"""
+        event = record.getMessage()
+        left, then, skipped = self._left.get(event, (LINES_AT_ONCE, record.created, 0))
+        left = min(left + LINES_A_SECOND * max(record.created - then, 0.0), LINES_AT_ONCE)
+        if left < 1:
+            self._left[event] = (left, record.created, skipped + 1)
+            return False
+        self._left[event] = (left - 1, record.created, 0)
+        if skipped:
+            record.pairs = {**getattr(record, "pairs", {}), "left_out": skipped}
+        return True
+
+
 def _value(value: object) -> str:
     text = f"{value:.1f}" if isinstance(value, float) else str(value)
     if text and not any(char in text for char in ' "=\n\r\t'):
@@ -47,6 +73,7 @@
     """Send all lines to standard error."""
     handler = logging.StreamHandler(sys.stderr)
     handler.setFormatter(KeyValueFormatter())
+    handler.addFilter(Limit())
     log.handlers[:] = [handler]
     log.setLevel(logging.INFO)
     log.propagate = False
--- a/pearloom/policy.py
+++ b/pearloom/policy.py
@@ -470,6 +470,13 @@
         self._arrivals = 0
         longest = max(kind.deadline_us for kind in self._settings.classes)
         self._unserved = {key: at for key, at in self._unserved.items() if self._now < at + longest}
+        # Guards against a day of new ids that fills the memory. Until its place is taken, its size is of use.
+        taken = {p.cell for p in self._pools.values() if p.state is PoolState.READY}
+        self._pools = {
+            name: p
+            for name, p in self._pools.items()
+            if p.state is not PoolState.GONE or p.out or p.cell not in taken
+        }
         for pool in self._pools.values():
             pool.offered_rate += RATE_GAIN * (pool.offered / period - pool.offered_rate)
             pool.stood_rate += RATE_GAIN * (pool.stood / period - pool.stood_rate)
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -72,6 +72,37 @@
     assert sends(proxy.call(0)) == [B]
 
 
+def test_a_set_up_that_others_have_passed_shuts_no_gate() -> None:
+    proxy = Proxy()
+    proxy.serve(100, A, first=0, gap=100_000)
+    assert sends(proxy.call()) == [A]
+    proxy.now += 10_000
+    assert sends(proxy.call()) == [A]
+    proxy.now += 50_000
+    proxy.stands(proxy.count, A)
+    proxy.now += 190_000
+    assert sends(proxy.call()) == [A]
+
+
+def test_a_broken_line_says_nothing_of_its_pool() -> None:
+    proxy = Proxy()
+    proxy.serve(30, A, first=0, gap=100_000)
+    assert sends(proxy.call()) == [A]
+    proxy.ended(proxy.count, A, api.Ending.RESET, line_only=True)
+    assert sends(proxy.call()) == sends(proxy.call()) == [A]
+
+
+def test_a_server_that_is_gone_is_forgotten_once_another_has_its_place() -> None:
+    proxy = Proxy()
+    for number in range(50):
+        gone, new = f"a:{number}" if number else A, f"a:{number + 1}"
+        proxy.tell(api.PoolList(api.ListKind.CHANGES, (entry(gone, 0, State.GONE), entry(new, 0))))
+        proxy.call()
+        proxy.serve_out()
+        proxy.now += 3_000_000
+    assert len(proxy.controller._pools) <= 3
+
+
 def test_full_pauses_the_pool_for_200_ms() -> None:
     proxy = Proxy(entry(A, 0))
     proxy.call()
