--- a/pearloom/__main__.py
+++ b/pearloom/__main__.py
@@ -42,7 +42,9 @@
         self._clock = clock
         self._deadline_ms = max(kind.deadline_us for kind in config.settings.classes) / 1000.0
         self.counters = Counters()
-        self.exchange = Exchange(clock, config.settings, config.seed, self.counters, config.round_ms)
+        self.exchange = Exchange(
+            clock, config.settings, config.seed, self.counters, config.round_ms, config.memory_mb
+        )
         self.callers = Callers(self.exchange, clock, self.counters, config)
         self.servers = SessionServers(self.exchange, clock, self.counters, config.dial_timeout_ms)
         self.exchange.attach(self.callers, self.servers)
--- a/pearloom/net/callers.py
+++ b/pearloom/net/callers.py
@@ -22,6 +22,8 @@
 from pearloom.net.logs import note
 
 CONNECTIONS_SHARE = 0.6  # x descriptors: callers hold at most a third; the rest is for servers and files
+BASE_MB = 14.0  # what the program takes with no connection
+CONNECTION_MB = 0.04  # and for each: they may take half of the rest of the memory
 BACKLOG = 512
 ACCEPTS_A_TURN = 16  # then those that are connected have their turn
 READ_BYTES = 8 * 1024  # from one caller a turn: at most some hundred set-ups, 20 ms of work
@@ -238,7 +240,8 @@
         self._most_patience_ms = (
             PATIENCE_SLACK * max(kind.deadline_us for kind in config.settings.classes) / 1000.0
         )
-        self._most = int(CONNECTIONS_SHARE * config.descriptors)
+        room_mb = max(config.memory_mb - BASE_MB, 1.0)
+        self._most = int(min(CONNECTIONS_SHARE * config.descriptors, room_mb / 2 / CONNECTION_MB))
         self._connections: dict[CallerConnection, None] = {}
         self._talkers: OrderedDict[CallerConnection, None] = (
             OrderedDict()
--- a/pearloom/net/config.py
+++ b/pearloom/net/config.py
@@ -56,6 +56,7 @@
     dial_timeout_ms: float
     round_ms: float
     descriptors: int
+    memory_mb: float
 
 
 def read_address(text: str) -> Address:
@@ -110,6 +111,7 @@
             dial_timeout_ms=float(params.get("limits.dialTimeoutUs", 500_000)) / 1000.0,
             round_ms=max(float(params.get("roundUs", 1000)) / 1000.0, 1.0),
             descriptors=int(told.get("limits", {}).get("sockets", 1024)),
+            memory_mb=float(told.get("limits", {}).get("memory_mb", 192)),
         )
     except ConfigError:
         raise
--- a/pearloom/net/exchange.py
+++ b/pearloom/net/exchange.py
@@ -27,8 +27,10 @@
 CAUSE_CUT = 41
 REMEMBERED = 20_000  # calls of this life that are over, at most
 REMEMBERED_MS = 60_000.0  # for so long: a memory that grows all day is one that runs out
-MOST_OPEN = 8_000  # calls that may wait for their answer; the memory is small
-MOST_DESCRIBED = 32 << 20  # bytes of descriptions held for them
+OPEN_A_MB = (
+    80.0  # calls that may wait for their answer, for each MB that the program may use: a quarter of it
+)
+DESCRIBED_SHARE = 1 / 16  # of the memory: descriptions held for them, which the attempts hold once more
 FULL_STAY_AWAY_MS = 1000.0
 # Added to the module's wait after doubt: a release reaches a far server later than the next set-up reaches a
 # near one, so the wait must hold at the servers too.
@@ -116,7 +118,13 @@
     """Hosts one controller; turns what happens into its events and its actions into deeds."""
 
     def __init__(
-        self, clock: Clock, settings: api.Settings, seed: int, counters: Counters, round_ms: float
+        self,
+        clock: Clock,
+        settings: api.Settings,
+        seed: int,
+        counters: Counters,
+        round_ms: float,
+        memory_mb: float,
     ) -> None:
         """Start with no call and no list."""
         settings = replace(settings, release_us=settings.release_us + RELEASE_MARGIN_US)
@@ -131,6 +139,8 @@
         self._standing: dict[str, dict[str, Call]] = {}
         self._over: OrderedDict[str, float] = OrderedDict()
         self._open = 0
+        self._most_open = int(OPEN_A_MB * memory_mb)
+        self._most_described = DESCRIBED_SHARE * memory_mb * 2**20
         self._described = 0
         self._events: deque[api.Event] = deque()
         self._telling = False
@@ -174,7 +184,7 @@
     def offered(self, offer: Offer, caller: Caller) -> None:
         """A new set-up."""
         self._counters.add("set_ups_in")
-        if self._open >= MOST_OPEN or self._described + len(offer.description) > MOST_DESCRIBED:
+        if self._open >= self._most_open or self._described + len(offer.description) > self._most_described:
             # Guards against a flood that would cost this process its life; nothing is decided of the call.
             self._counters.add("refused_unseen")
             caller.refused(offer.call, FULL_STAY_AWAY_MS)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -109,6 +109,21 @@
         assert process.wait(3.7) == 0
 
 
+def test_connections_are_bounded_by_the_memory_too(tmp_path: Path) -> None:
+    address = ("127.0.0.1", port())
+    limits = {"sockets": 1024, "memory_mb": 16}
+    process = start(tmp_path, {**TOLD, "listen": f"127.0.0.1:{address[1]}", "limits": limits})
+    assert process.stderr is not None and "event=started" in process.stderr.readline()
+    with process.stderr:
+        callers = [socket.create_connection(address, timeout=5) for _ in range(30)]
+        assert ask(callers[-1]) == encode(PASSED)
+        assert callers[0].recv(1) == b""
+        process.kill()
+        process.wait()
+        for caller in callers:
+            caller.close()
+
+
 def test_counters_are_printed_on_request(running: tuple[subprocess.Popen[str], socket.socket]) -> None:
     process, caller = running
     caller.sendall(encode('(01 9b1f03aa5c7e2d41 03("none"))'))
