--- a/pearloom/policy.py
+++ b/pearloom/policy.py
@@ -126,6 +126,8 @@
     current: int = -1  # number of the attempt that is out
     server: str = ""  # where it is out, or stands
     may_have_run: bool = False
+    erred: str = ""  # the server that failed it
+    hopeless: bool = False  # two servers failed it
     hold_until: int = 0
     release_at: int = 0
     due: int = -1  # when the call's timer is to act next
@@ -250,7 +252,7 @@
         if pool is not None:
             self._reported(event.server, event.report)
             if not event.line_only:
-                self._judge(pool, event, call.stands)
+                self._judge(pool, event, call)
         if event.call_over:
             call.answered = True
         if event.ending in (Ending.TIMED_OUT, Ending.RESET, Ending.CANCELLED):
@@ -432,16 +434,22 @@
         pause = max(pool.trial_gap, least)
         pool.trial_at = self._now + int(pause * (1 + SPREAD * self._random.random()))
 
-    def _judge(self, pool: Pool, event: api.AttemptEnded, stood: bool) -> None:
+    def _judge(self, pool: Pool, event: api.AttemptEnded, call: Call) -> None:
         """What an attempt's ending says of its pool."""
         if event.ending is Ending.ENDED:
             pool.free += 1  # the line that this proxy gave back is its to use until the next report
         elif event.processor_full:
             self._pressed += PRESSED_GAIN * (1 - self._pressed)
             self._doubt(pool, max(FULL_PAUSE_US, event.full_wait_us))
+        elif event.ending is Ending.ERROR and call.erred not in ("", pool.server):
+            # Guards against a call that no server can use: it is failed, and neither server is blamed for it.
+            call.hopeless = True
+            if (first := self._pools.get(call.erred)) is not None:
+                first.errors = max(first.errors - 1, 0)
         elif event.ending is Ending.ERROR:
             # Guards against a pool that fails what it takes, and so looks quick and free. Harm: single trials
             # for one pause where several called numbers are busy at once.
+            call.erred = pool.server
             pool.errors += 1
             if pool.errors >= ERROR_RUN:
                 self._doubt(pool, FULL_PAUSE_US)
@@ -452,7 +460,7 @@
         elif event.ending is Ending.RESET:
             pool.cuts = pool.cuts + 1 if pool.cut_at == self._now else 1
             pool.cut_at = self._now
-            if not stood or pool.cuts >= CUT_BUNCH:
+            if not call.stands or pool.cuts >= CUT_BUNCH:
                 # Guards against a death that the list tells of seconds late. Harm: a pool that loses only its
                 # standing calls takes one set-up at a time until the first answer.
                 self._doubt(pool, 0.0)
@@ -505,6 +513,7 @@
                 self._shut_rank = max(self._shut_rank, rank)
             able = [pool for pool in opened if self._allowed(call, pool)]
             able = [pool for pool in able if self._in_pace(pool)] or able
+            able = [pool for pool in able if pool.server != call.erred] or able
             for pool in able:
                 if pool.cell == call.first_choice:
                     return pool
@@ -516,7 +525,8 @@
     # --- The attempt's life ---------------------------------------------------------------------------------
     def _place(self, call: Call) -> None:
         """Send the call, or wait for its release time, or refuse it."""
-        if self._now >= call.deadline or call.attempts >= self._settings.max_attempts or call.sealed:
+        tried = call.attempts >= self._settings.max_attempts or call.hopeless
+        if self._now >= call.deadline or tried or call.sealed:
             self._answer(call, refuse=False)
             return
         if self._now < call.release_at:
