Listen for operators; a drain fails tests, closes idle connections and keeps standing calls

With the drain alone: 242 releases untold and the front never came back. callers.py wrote waiting releases to every connection on accept, so the front's test read a release before its answer and took that for a no, and nobody read the release. One connection that brought a standing call stays while any call stands. Ruled out: keeping every connection that brought a standing call; its callers would go on sending here, and be refused from 1.8 s on, instead of going elsewhere.

--- a/pearloom/__main__.py
+++ b/pearloom/__main__.py
@@ -8,6 +8,7 @@
 import signal
 import sys
 from collections.abc import Mapping
+from http import HTTPStatus
 
 import gevent
 from gevent.event import Event
@@ -20,6 +21,7 @@
 from pearloom.net.counters import Counters
 from pearloom.net.exchange import Exchange
 from pearloom.net.logs import configure, note
+from pearloom.net.management import Answer, Management, Route
 from pearloom.net.session_servers import SessionServers
 
 # At a planned restart set-ups keep coming for up to 0.4 s on new connections and 0.2 s more on open ones.
@@ -50,13 +52,23 @@
         self.exchange.attach(self.callers, self.servers)
         self.exchange.told(api.ListKind.CACHED, cached(config.known))
         self.coordinator = Coordinator(config.coordinator, config.known_index, self.exchange, self.counters)
+        routes = {
+            "/v1/readyz": Route("GET", self._readiness),
+            "/v1/softswitch/drain": Route("POST", self._drain),
+            "/v1/softswitch/activate": Route("POST", self._activate),
+        }
+        self.management = Management(routes, self.counters, config.descriptors)
+        self.serves = False
 
     def start(self, config: Config) -> None:
         """Take calls from now on."""
-        self.callers.listen(config.listen)
+        if config.management is not None:
+            self.management.listen(config.management)
         self.servers.start()
         self.coordinator.start()
         gevent.spawn(self._keep_time)
+        self.callers.listen(config.listen)
+        self.serves = True
 
     def _keep_time(self) -> None:
         looked = self._clock.now_ms()
@@ -67,6 +79,23 @@
                 note(logging.WARNING, "late", by_ms=now - looked)
             looked = now
 
+    # --- what operators ask for -----------------------------------------------------------------------------
+    def _readiness(self) -> Answer:
+        """Can this process serve? A drained one can: what it wants is for the front to ask, at the callers'
+        address."""
+        ready = self.serves and not self.callers.stopping
+        return Answer(HTTPStatus.OK, "ready\n") if ready else Answer(HTTPStatus.SERVICE_UNAVAILABLE)
+
+    def _drain(self) -> Answer:
+        note(logging.INFO, "draining", open_calls=self.exchange.open_calls)
+        self.callers.empty()
+        return Answer(HTTPStatus.OK, "draining\n")
+
+    def _activate(self) -> Answer:
+        note(logging.INFO, "active")
+        self.callers.fill()
+        return Answer(HTTPStatus.OK, "active\n")
+
     def print_counters(self) -> None:
         """Log what has been counted and what is held."""
         self.counters.print(open_calls=self.exchange.open_calls, standing_calls=self.exchange.standing_calls)
--- a/pearloom/net/callers.py
+++ b/pearloom/net/callers.py
@@ -17,7 +17,7 @@
 from pearloom.net.connection import Connection, Letter
 from pearloom.net.counters import Counters
 from pearloom.net.errors import Malformed
-from pearloom.net.exchange import FULL_STAY_AWAY_MS, Caller, Exchange, Offer
+from pearloom.net.exchange import Caller, Exchange, Offer
 from pearloom.net.isup import Cause, Code, Message, Type
 from pearloom.net.logs import note
 
@@ -34,6 +34,10 @@
 UNHEARD_MS = 5000.0  # a release whose connection ends within this time, unconfirmed, is sent again
 MOST_DESCRIPTION = 15 * 1024  # bytes: with its headers it has to fit one SIP message
 PATIENCE_SLACK = 2.0  # x the longest deadline: no caller waits longer
+FRESH_MS = 1000.0  # when emptied: how long a new connection that has said nothing is kept
+EMPTY_LOOK_MS = 50.0  # how often connections are looked at while the softswitch is emptied
+EMPTY_FOR_MS = 1800.0  # set-ups that come later are refused: after 4 s none younger than 2 s may be open
+EMPTY_INSIDE_MS = 2800.0  # and later nobody may still be sending one
 RELEASES_KEPT = 20_000  # releases that wait for a connection
 _NUMBER = re.compile(r"[0-9A-Za-z+*#._-]{1,64}")
 _MILLISECONDS = re.compile(r"[0-9]{1,9}(\.[0-9]{1,6})?")
@@ -57,6 +61,7 @@
         self._side = side
         self._decoder = isup.Decoder()
         self._peer_ended = False
+        self._opened_ms = now_ms
         self.heard_ms = now_ms  # when the last whole message came
         self.spoke = False  # has any come?
         self._inside_ms = math.inf  # since when one has begun and is not whole
@@ -106,6 +111,18 @@
             return "" if self.connection.busy else "unused"
         return ""
 
+    def retire(self, now_ms: float, emptied_ms: float) -> None:
+        """Close this connection if nothing is under way on it; `emptied_ms`: for how long none is wanted.
+
+        Guards against losing a set-up that has arrived or begun: such a connection stays until it is
+        answered, and a new one has time to speak."""
+        fresh = not self.spoke and now_ms - self._opened_ms < FRESH_MS
+        late = emptied_ms > EMPTY_INSIDE_MS
+        if self.open or (not late and (fresh or self._decoder.inside)) or self.connection.busy:
+            return
+        self._side.counters.add("caller_connections_emptied")
+        self.connection.close("emptied")
+
     def _send_release(self, call: str, cause: int) -> None:
         message = Message(Type.RELEASE, call, {Code.CAUSE: bytes([cause])})
         self._send(Letter(isup.encode(message), call))
@@ -162,15 +179,17 @@
             case Type.SET_UP:
                 self._set_up(message)
             case Type.RELEASE:
+                self._side.talked(self)
                 cause = message.cause
                 self.open.discard(message.call)
                 self._side.exchange.left(message.call, Cause.NORMAL if cause is None else cause)
                 self._send(Letter(isup.encode(Message(Type.RELEASE_HEARD, message.call))))
             case Type.RELEASE_HEARD:
+                self._side.talked(self)
                 self._side.counters.add("releases_heard")
                 self.unheard.pop(message.call, None)
             case Type.TEST:
-                cause = 0 if self._side.stopping else 1
+                cause = 1 if self._side.takes_work else 0
                 reply = Message(Type.TESTED, message.call, {Code.CAUSE: bytes([cause])})
                 self._send(Letter(isup.encode(reply)))
             case Type.PROGRESS | Type.GROUP_STATE | Type.TESTED:
@@ -200,10 +219,10 @@
             self._send_release(message.call, Cause.INVALID_SET_UP)
             return
         self._side.talked(self)
-        if len(self.open) >= MOST_OPEN_EACH:
-            # Guards against one connection that takes what all callers share.
-            self._side.counters.add("refused_unseen")
-            self.refused(message.call, FULL_STAY_AWAY_MS)
+        if len(self.open) >= MOST_OPEN_EACH or self._side.emptied_ms > EMPTY_FOR_MS:
+            # Guards against one connection that takes what all callers share, and against one that is never
+            # without a set-up and so would outlive a drain.
+            exchange.refuse(offer, self)
             return
         self.open.add(message.call)
         exchange.offered(offer, self)
@@ -234,6 +253,9 @@
         self.exchange = exchange
         self.counters = counters
         self.stopping = False
+        self._emptying_since = math.inf
+        self._looks = False
+        self._kept: CallerConnection | None = None  # while emptied: what releases are told on
         self._clock = clock
         self._kinds = {name: number for number, name in enumerate(config.class_names)}
         self._figure_bounds = {**_FIGURE_BOUNDS, "width": (1, config.most_width)}
@@ -252,6 +274,49 @@
         """The time."""
         return self._clock.now_ms()
 
+    @property
+    def takes_work(self) -> bool:
+        """Is the front to send new callers here?"""
+        return not self.stopping and self._emptying_since == math.inf
+
+    @property
+    def emptied_ms(self) -> float:
+        """For how long connections have been emptied; below 0 where they are not."""
+        return self._clock.now_ms() - self._emptying_since
+
+    def empty(self) -> None:
+        """Fail tests, and let go of each connection once nothing is under way on it; may be repeated."""
+        self._emptying_since = min(self._emptying_since, self._clock.now_ms())
+        if not self._looks:
+            self._looks = True
+            self._look()
+
+    def fill(self) -> None:
+        """Take work again; may be repeated."""
+        self._emptying_since = math.inf
+
+    def _look(self) -> None:
+        self._looks = self._emptying_since < math.inf
+        if self._looks:
+            now, emptied = self._clock.now_ms(), self.emptied_ms
+            kept = self._kept = self._keep()
+            for caller in list(self._connections):
+                if caller is not kept:
+                    caller.retire(now, emptied)
+            self.exchange.after_ms(EMPTY_LOOK_MS, self._look)
+
+    def _keep(self) -> CallerConnection | None:
+        """Guards against releases of standing calls that have no connection to be told on: one that brought
+        a standing call stays for as long as anything stands."""
+        if not self.exchange.standing_calls:
+            return None
+        if self._kept is not None and not self._kept.connection.closed:
+            return self._kept
+        for caller in self.exchange.callers_of_standing():
+            if isinstance(caller, CallerConnection) and not caller.connection.closed:
+                return caller
+        return next(reversed(self._talkers), None)
+
     def listen(self, address: Address) -> Address:
         """Open the listening socket, take connections from now on, and return where."""
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -278,8 +343,6 @@
                 caller = CallerConnection(self, sock, self.now_ms())
                 self._connections[caller] = None
                 caller.connection.start()
-                while self._unsent and not caller.connection.closed:
-                    caller.release(*self._unsent.popleft(), self.now_ms())
             else:
                 sock.close()
             accepted += 1
@@ -311,9 +374,13 @@
         self.exchange.after_ms(WATCH_MS, self._watch)
 
     def talked(self, caller: CallerConnection) -> None:
-        """A connection brought a set-up; releases that have no connection of their own go there."""
+        """It brought a set-up, or dealt with a release; releases without a connection of their own go there.
+
+        Guards against telling a front's test what it does not understand, or a caller that never speaks."""
         self._talkers[caller] = None
         self._talkers.move_to_end(caller)
+        while self._unsent and not caller.connection.closed:
+            caller.release(*self._unsent.popleft(), self.now_ms())
 
     def is_talker(self, caller: CallerConnection) -> bool:
         """Has it brought a set-up?"""
@@ -366,7 +433,7 @@
             chosen: CallerConnection | None = caller
         else:
             # Guards against connections that never brought a call: nobody may be listening there.
-            chosen = next(reversed(self._talkers), None) or next(reversed(self._connections), None)
+            chosen = next(reversed(self._talkers), None)
         if chosen is None:
             self._unsent.append((call, cause))
         else:
--- a/pearloom/net/config.py
+++ b/pearloom/net/config.py
@@ -46,6 +46,7 @@
 
     name: str
     listen: Address
+    management: Address | None
     seed: int
     coordinator: Address
     known_index: int
@@ -94,10 +95,12 @@
         told = json.loads(Path(path).read_text(encoding="utf-8"))
         params = flatten(told["settings"])
         known = told.get("known") or {}
+        management = environment.get("BALANCER_MANAGEMENT") or str(told.get("management") or "")
         updates = tuple(read_update(update) for update in known.get("updates", ()))
         return Config(
             name=environment.get("BALANCER_NAME") or str(told["name"]),
             listen=read_address(environment.get("BALANCER_LISTEN") or told["listen"]),
+            management=read_address(management) if management else None,
             seed=int(str(told["seed"]), 16),
             coordinator=read_address(told["coordinator"]),
             known_index=int(known.get("index", updates[-1].index if updates else 0)),
--- a/pearloom/net/exchange.py
+++ b/pearloom/net/exchange.py
@@ -9,7 +9,7 @@
 import heapq
 import logging
 from collections import OrderedDict, deque
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Iterator, Mapping, Sequence
 from dataclasses import dataclass, replace
 from typing import Protocol
 
@@ -172,6 +172,12 @@
         """Does this call stand there?"""
         return call in self._standing.get(server, ())
 
+    def callers_of_standing(self) -> Iterator[Caller]:
+        """Who brought the calls that stand, at each server the youngest call first."""
+        for calls in self._standing.values():
+            for call in reversed(calls.values()):
+                yield call.caller
+
     def is_open(self, call: str) -> bool:
         """Is this call held here, unanswered or standing?"""
         return call in self._calls
@@ -185,9 +191,8 @@
         """A new set-up."""
         self._counters.add("set_ups_in")
         if self._open >= self._most_open or self._described + len(offer.description) > self._most_described:
-            # Guards against a flood that would cost this process its life; nothing is decided of the call.
-            self._counters.add("refused_unseen")
-            caller.refused(offer.call, FULL_STAY_AWAY_MS)
+            # Guards against a flood that would cost this process its life.
+            self._refuse_unseen(offer, caller)
             return
         self._calls[offer.call] = Call(offer, caller)
         self._open += 1
@@ -204,6 +209,15 @@
             )
         )
 
+    def refuse(self, offer: Offer, caller: Caller) -> None:
+        """A new set-up that the callers' side has no room for; nothing is decided of the call."""
+        self._counters.add("set_ups_in")
+        self._refuse_unseen(offer, caller)
+
+    def _refuse_unseen(self, offer: Offer, caller: Caller) -> None:
+        self._counters.add("refused_unseen")
+        caller.refused(offer.call, FULL_STAY_AWAY_MS)
+
     def refuse_open(self) -> None:
         """Turn away every set-up that has no answer yet: this process is about to end."""
         for name, call in [(name, call) for name, call in self._calls.items() if not call.answered]:
--- a/tests/player.py
+++ b/tests/player.py
@@ -1,13 +1,12 @@
 """Plays a recorded exchange against the real softswitch, on loopback sockets and a clock that is set.
 
 A recording is a text file. Each line is `who verb bytes`; blanks at its start continue the one before.
-Who: `c1`, `c2` … callers, `s1`, `s2` … session servers, `co` and `cp` coordinators, `clock` (milliseconds
-to go on), `log` (a line expected), `unseen` (a line that must not have come), `sighup` (the configuration is
-read again and names that coordinator; `spoilt`: it can't be used). Verbs: `>` sent to the softswitch,
-`<` expected from it, next and exactly; `opens` (a caller connects, a server accepts; the
-rest is another name for the new connection), `ends` (half-close),
-`resets`, `closed` (expected of the softswitch), `stops` (no longer listens), `mutes` (new connections never
-come up).
+Who: `c1`, `c2` … callers, `m1`, `m2` … operators, `s1`, `s2` … session servers, `co` and `cp`
+coordinators, `clock` (milliseconds to go on), `log` (a line expected), `unseen` (a line that must not have
+come), `sighup` (the configuration is read again and names that coordinator; `spoilt`: it can't be used).
+Verbs: `>` sent to the softswitch, `<` expected from it, next and exactly; `opens` (a caller connects, a
+server accepts; the rest is another name for the new connection), `ends` (half-close), `resets`, `closed`
+(expected of the softswitch), `stops` (no longer listens), `mutes` (new connections never come up).
 Bytes: bare words are hex, "…" is text with escapes, (…) has its length before it in two bytes, […] in four.
 `{a1}` and `{p1}` stand for the address and port of server 1.
 """
@@ -106,6 +105,8 @@
         self.folder, self.known, self.sockets = folder, [1, 2], sockets
         self.softswitch = Softswitch(self.config(folder, self.known), self.clock)
         self.address = self.softswitch.callers.listen(("127.0.0.1", 0))
+        self.operated = self.softswitch.management.listen(("127.0.0.1", 0))
+        self.softswitch.serves = True
         self.softswitch.servers.start()
         self.softswitch.coordinator.start()
 
@@ -162,7 +163,8 @@
                 self.config(self.folder, self.known, coordinator=verb)
             self.softswitch.reload({"BALANCER_CONFIG": str(self.folder / "config.json")})
         elif verb == "opens" and who not in self.listeners:
-            self.peers[who] = socket.create_connection(self.address)
+            address = self.operated if who.startswith("m") else self.address
+            self.peers[who] = socket.create_connection(address)
         elif verb == "opens":
             self.peers[rest or who] = self.listeners[who].accept()[0]
         elif verb == ">":
--- a/tests/test_codecs.py
+++ b/tests/test_codecs.py
@@ -25,7 +25,8 @@
     """All that one kind of peer sends in the recordings of what is well formed."""
     found = b""
     for path in RECORDINGS:
-        for who, verb, rest in read(path) if "malformed" not in path.stem and "long" not in path.stem else []:
+        skipped = any(word in path.stem for word in ("malformed", "long", "half_sent"))
+        for who, verb, rest in [] if skipped else read(path):
             if verb == ">" and who.rstrip("0123456789") == kind:
                 found += encode(re.sub(r"{a\d}", "7f000001", re.sub(r"{p\d}", "1f90", rest)))
     return found
