--- a/pearloom/__main__.py
+++ b/pearloom/__main__.py
@@ -18,7 +18,7 @@
 from pearloom.net.clock import Clock
 from pearloom.net.config import Config, ConfigError, read_config
 from pearloom.net.coordinator import Coordinator, cached
-from pearloom.net.counters import Counters
+from pearloom.net.counters import Counters, Figures
 from pearloom.net.exchange import Exchange
 from pearloom.net.logs import configure, note
 from pearloom.net.management import Answer, Management, Route
@@ -45,7 +45,13 @@
         self._deadline_ms = max(kind.deadline_us for kind in config.settings.classes) / 1000.0
         self.counters = Counters()
         self.exchange = Exchange(
-            clock, config.settings, config.seed, self.counters, config.round_ms, config.memory_mb
+            clock,
+            config.settings,
+            config.seed,
+            self.counters,
+            Figures(config.class_names),
+            config.round_ms,
+            config.memory_mb,
         )
         self.callers = Callers(self.exchange, clock, self.counters, config)
         self.servers = SessionServers(self.exchange, clock, self.counters, config.dial_timeout_ms)
@@ -54,6 +60,7 @@
         self.coordinator = Coordinator(config.coordinator, config.known_index, self.exchange, self.counters)
         routes = {
             "/v1/readyz": Route("GET", self._readiness),
+            "/v1/metrics": Route("GET", lambda: Answer(HTTPStatus.OK, self.exchange.figures())),
             "/v1/softswitch/drain": Route("POST", self._drain),
             "/v1/softswitch/activate": Route("POST", self._activate),
         }
--- a/pearloom/net/callers.py
+++ b/pearloom/net/callers.py
@@ -170,7 +170,7 @@
     def _expel(self) -> None:
         """Nothing more can be read here: answer what is open, then close."""
         for call in list(self.open):
-            self._side.exchange.left(call, Cause.NORMAL)
+            self._side.exchange.spoil(call)
             self.failed(call)
         self.connection.finish()
 
@@ -208,7 +208,7 @@
             note(logging.WARNING, "caller_duplicate", call=message.call)
             if message.call in self.open:
                 # Neither of the two can be told from the other: none may be served.
-                exchange.left(message.call, Cause.NORMAL)
+                exchange.spoil(message.call)
                 self.open.discard(message.call)
             self._send_release(message.call, Cause.INVALID_SET_UP)
             return
--- a/pearloom/net/connection.py
+++ b/pearloom/net/connection.py
@@ -32,6 +32,9 @@
         self.progress = Progress.NOT_DIALLED
         self.withdrawn = False
 
+    def written(self) -> None:
+        """Its last byte has left."""
+
 
 class Connection:
     """Owns a connected socket until either side ends it; exceptions stop here."""
@@ -156,6 +159,7 @@
         for letter in batch:
             if rest >= len(letter.data):
                 letter.progress = Progress.SENT
+                letter.written()
                 rest -= len(letter.data)
             elif rest:
                 self._sent_of_first, rest = rest, 0
--- a/pearloom/net/exchange.py
+++ b/pearloom/net/exchange.py
@@ -17,7 +17,7 @@
 from pearloom.interface import Ending
 from pearloom.net.clock import Clock
 from pearloom.net.config import Server
-from pearloom.net.counters import Counters
+from pearloom.net.counters import Counters, Figures
 from pearloom.net.errors import AttemptError, Progress
 from pearloom.net.logs import crashed, note
 from pearloom.policy import Controller
@@ -86,6 +86,10 @@
     def listed(self, servers: Sequence[Server], whole: bool) -> None:
         """The pool list changed."""
 
+    @property
+    def discovered(self) -> int:
+        """How many are in the list."""
+
     def withdraw_unsent(self) -> None:
         """End every attempt that has not left yet for a server that may get no new set-up."""
 
@@ -123,6 +127,7 @@
         settings: api.Settings,
         seed: int,
         counters: Counters,
+        figures: Figures,
         round_ms: float,
         memory_mb: float,
     ) -> None:
@@ -130,6 +135,7 @@
         settings = replace(settings, release_us=settings.release_us + RELEASE_MARGIN_US)
         self._clock = clock
         self._counters = counters
+        self._figures = figures
         # The module sees time in steps, as on the simulator's wire: it takes what happened in one step as
         # one batch, and tells by that a dead processor from a single call that was cut.
         self._round_us = round(round_ms * 1000)
@@ -164,6 +170,14 @@
         """Calls that stand."""
         return sum(len(calls) for calls in self._standing.values())
 
+    def figures(self) -> str:
+        """What operators read; a call is outstanding until it is over, not just until it stands."""
+        return self._figures.text(
+            outstanding=self._open + self.standing_calls,
+            discovered=self._servers.discovered,
+            ejected=self._controller.avoided,
+        )
+
     def standing_at(self, server: str) -> int:
         """Calls that stand at this server."""
         return len(self._standing.get(server, ()))
@@ -216,17 +230,31 @@
 
     def _refuse_unseen(self, offer: Offer, caller: Caller) -> None:
         self._counters.add("refused_unseen")
+        self._figures.declined(offer.kind)
         caller.refused(offer.call, FULL_STAY_AWAY_MS)
 
     def refuse_open(self) -> None:
         """Turn away every set-up that has no answer yet: this process is about to end."""
         for name, call in [(name, call) for name, call in self._calls.items() if not call.answered]:
-            self._close(call)
             self._counters.add("refusals_out")
+            self._figures.declined(call.offer.kind)
+            self._drop(name, call)
             call.caller.refused(name, FULL_STAY_AWAY_MS)
-            self._tell(api.CallGone(name))
-            self._give_up(call, Ending.CANCELLED)
-            self._forget(call)
+
+    def spoil(self, name: str) -> None:
+        """Fail a set-up that its caller made unusable."""
+        call = self._calls.get(name)
+        if call is not None and not call.answered:
+            self._counters.add("failures_out")
+            self._figures.aborted(call.offer.kind)
+            self._drop(name, call)
+
+    def _drop(self, name: str, call: Call) -> None:
+        """End a call that the decision module did not answer, and its attempt."""
+        self._close(call)
+        self._tell(api.CallGone(name))
+        self._give_up(call, Ending.CANCELLED)
+        self._forget(call)
 
     def left(self, name: str, cause: int) -> None:
         """The caller gave its set-up up, or released its standing call, or can't be reached any more."""
@@ -242,10 +270,7 @@
             self._ended(call, Ending.CANCELLED)
         elif not call.answered:
             self._counters.add("given_up_by_caller")
-            self._close(call)
-            self._tell(api.CallGone(name))
-            self._give_up(call, Ending.CANCELLED)
-            self._forget(call)
+            self._drop(name, call)
 
     # --- from the session servers ---------------------------------------------------------------------------
     def stands(self, name: str, attempt: int, description: bytes) -> bool:
@@ -258,6 +283,7 @@
         self._close(call)
         self._standing.setdefault(call.server, {})[name] = call
         self._counters.add("answers_out")
+        self._figures.succeeded(call.offer.kind)
         # The module hears of it first: a caller that can't be told any more ends the call at once.
         self._tell(api.CallStands(name, attempt, call.server, round((now - call.sent_ms) * 1000)))
         call.caller.stands(name, description)
@@ -282,6 +308,10 @@
             self._remember(name)
             self._callers.release(name, cause, None)
 
+    def forwarded(self) -> None:
+        """The last byte of an attempt was written."""
+        self._figures.forwarded()
+
     def reported(self, server: str, report: Mapping[str, float]) -> None:
         """A session server told how many lines are free."""
         self._counters.add("reports_in")
@@ -363,9 +393,15 @@
             case api.SendSetUp(name, server, timeout_us):
                 self._send(name, server, timeout_us)
             case api.Refuse(name, wait_us):
-                self._answer(name, "refusals_out", lambda caller: caller.refused(name, wait_us / 1000.0))
+                if (call := self._answered(name)) is not None:
+                    self._counters.add("refusals_out")
+                    self._figures.declined(call.offer.kind)
+                    call.caller.refused(name, wait_us / 1000.0)
             case api.Fail(name):
-                self._answer(name, "failures_out", lambda caller: caller.failed(name))
+                if (call := self._answered(name)) is not None:
+                    self._counters.add("failures_out")
+                    self._figures.aborted(call.offer.kind)
+                    call.caller.failed(name)
             case api.CancelAttempt(name, attempt):
                 call = self._calls.get(name)
                 if call is not None and call.current == attempt:
@@ -390,15 +426,16 @@
         if call.current == attempt:
             self._give_up(call, Ending.TIMED_OUT)
 
-    def _answer(self, name: str, counter: str, say: Callable[[Caller], None]) -> None:
+    def _answered(self, name: str) -> Call | None:
+        """The call that is answered with this, or None.
+
+        Guards against a second final answer, and one after the caller gave up."""
         call = self._calls.get(name)
-        # Guards against a second final answer, and one after the caller gave up.
         if call is None or call.answered:
-            return
+            return None
         self._close(call)
-        self._counters.add(counter)
-        say(call.caller)
         self._forget(call)
+        return call
 
     # --- ends -----------------------------------------------------------------------------------------------
     def _give_up(self, call: Call, ending: Ending) -> None:
--- a/pearloom/net/session_servers.py
+++ b/pearloom/net/session_servers.py
@@ -65,13 +65,17 @@
 class _SetUpLetter(Letter):
     """An INVITE; on its way or waiting for its answer."""
 
-    __slots__ = ("link", "sent_ms", "set_up")
+    __slots__ = ("_on_written", "link", "sent_ms", "set_up")
 
-    def __init__(self, data: bytes, set_up: SetUp) -> None:
+    def __init__(self, data: bytes, set_up: SetUp, on_written: Callable[[], None]) -> None:
         super().__init__(data, set_up.offer.call)
         self.set_up = set_up
         self.link: Link | None = None
         self.sent_ms = 0.0  # when it was given to its connection
+        self._on_written = on_written
+
+    def written(self) -> None:
+        self._on_written()
 
 
 class Link:
@@ -179,7 +183,7 @@
         data = sip.encode_request(
             "INVITE", offer.number, offer.call, set_up.attempt + 1, headers, offer.description
         )
-        letter = _SetUpLetter(data, set_up)
+        letter = _SetUpLetter(data, set_up, self._exchange.forwarded)
         if not self._owing:
             self._owing_ms = self._side.clock.now_ms()
         self._set_ups[offer.call] = letter
@@ -520,6 +524,11 @@
             if trunk.name not in named:
                 trunk.update(gone(trunk.server))
 
+    @property
+    def discovered(self) -> int:
+        """How many are in the list."""
+        return sum(one.server.entry.state is not PoolState.GONE for one in self._trunks.values())
+
     def withdraw_unsent(self) -> None:
         """End what has not begun to leave for a server that is not ready."""
         for trunk in list(self._trunks.values()):
--- a/pearloom/policy.py
+++ b/pearloom/policy.py
@@ -200,6 +200,11 @@
         self._release_held()
         return self._actions
 
+    @property
+    def avoided(self) -> int:
+        """How many listed pools get single trials alone: silent, dead, jammed, full or failing."""
+        return sum(pool.doubted and pool.state is PoolState.READY for pool in self._pools.values())
+
     def _arrived(self, event: api.CallArrived) -> None:
         if event.call in self._calls:
             raise ValueError(f"call {event.call}: it is already held")
