Hand the listening socket, the list and the standing calls to a new process at an upgrade

The elder also resumes if the younger dies, which a test with real processes plays, as it does a stale file.

Seen and settled on the way: an inherited call's end must not reach the module, which never sent it; a session server repeats a release on the next connection that is opened, so the younger dials one when the elder has gone; readyz of the elder says no once it has yielded.

--- a/pearloom/__main__.py
+++ b/pearloom/__main__.py
@@ -20,6 +20,7 @@
 from pearloom.net.coordinator import Coordinator, cached
 from pearloom.net.counters import Counters, Figures
 from pearloom.net.exchange import Exchange
+from pearloom.net.handover import Handover, Legacy, ask, path_of
 from pearloom.net.logs import configure, note
 from pearloom.net.management import Answer, Management, Route
 from pearloom.net.session_servers import SessionServers
@@ -31,6 +32,8 @@
 ANSWER_EARLY_MS = 400.0  # before SIGKILL all that is still open is refused
 STOP_EARLY_MS = 200.0  # the rest of that time is for the answers to leave
 STOP_LOOK_S = 0.05
+MOST_UPGRADE_DEADLINE_MS = 5000.0  # the same where another process has taken over
+BEGIN_S = 1.0  # at an upgrade: for the first connections to session servers, and word of the coordinator
 GC_YOUNG = 20_000  # objects between collections: nearly all that a call leaves goes by its count
 LATE_MS = 250.0  # between two looks at the timers: worth a line, as callers wait for as long
 TICK_S = 0.0025  # timers are looked at so often: a wake-up for each of hundreds a second costs more
@@ -65,17 +68,36 @@
             "/v1/softswitch/activate": Route("POST", self._activate),
         }
         self.management = Management(routes, self.counters, config.descriptors)
+        self.handover = Handover(
+            config.known_digest, self.exchange, self.callers, self.servers, self.coordinator
+        )
+        self.callers.elsewhere = self.handover.release
         self.serves = False
 
-    def start(self, config: Config) -> None:
-        """Take calls from now on."""
+    def start(self, config: Config, legacy: Legacy | None, folder: str) -> None:
+        """Take calls from now on; after a process that still runs, only once they can be served."""
         if config.management is not None:
             self.management.listen(config.management)
         self.servers.start()
         self.coordinator.start()
         gevent.spawn(self._keep_time)
-        self.callers.listen(config.listen)
+        if legacy is None:
+            self.callers.listen(config.listen)
+        else:
+            self.handover.inherit(legacy)
+            self._await_beginning()
+            self.callers.accept_on(legacy.listener)
+            self.handover.take()
         self.serves = True
+        if folder:
+            self.handover.listen(path_of(config, folder))
+
+    def _await_beginning(self) -> None:
+        """Guards against calls that wait here for a connection while the process before has one."""
+        for _ in range(int(BEGIN_S / TICK_S)):
+            if self.servers.settled and self.coordinator.heard:
+                return
+            gevent.sleep(TICK_S)
 
     def _keep_time(self) -> None:
         looked = self._clock.now_ms()
@@ -89,18 +111,20 @@
     # --- what operators ask for -----------------------------------------------------------------------------
     def _readiness(self) -> Answer:
         """Can this process serve? A drained one can: what it wants is for the front to ask, at the callers'
-        address."""
-        ready = self.serves and not self.callers.stopping
+        address. One that another has taken over from, or that is to end, takes nobody new."""
+        ready = self.serves and not self.callers.stopping and not self.callers.yielded
         return Answer(HTTPStatus.OK, "ready\n") if ready else Answer(HTTPStatus.SERVICE_UNAVAILABLE)
 
     def _drain(self) -> Answer:
         note(logging.INFO, "draining", open_calls=self.exchange.open_calls)
-        self.callers.empty()
+        self.callers.drain()
+        self.handover.drain(True)
         return Answer(HTTPStatus.OK, "draining\n")
 
     def _activate(self) -> Answer:
         note(logging.INFO, "active")
-        self.callers.fill()
+        self.callers.activate()
+        self.handover.drain(False)
         return Answer(HTTPStatus.OK, "active\n")
 
     def print_counters(self) -> None:
@@ -126,14 +150,21 @@
         """Return once nothing is owed any more, or shortly before SIGKILL may come."""
         began = self._clock.now_ms()
         self.callers.stopping = True
-        killed = min(self._deadline_ms, MOST_DEADLINE_MS) + 700.0
-        while (gone := self._clock.now_ms() - began) < killed - STOP_EARLY_MS:
+        while True:
+            gone, yielded = self._clock.now_ms() - began, self.callers.yielded
+            most = MOST_UPGRADE_DEADLINE_MS if yielded else MOST_DEADLINE_MS
+            killed = min(self._deadline_ms, most) + 700.0
+            if gone >= killed - STOP_EARLY_MS:
+                break
+            if yielded and not self.exchange.open_calls + self.callers.connections:
+                break  # what stands is the other process's
             if gone >= STILL_COMING_MS and not self.exchange.open_calls + self.exchange.standing_calls:
                 break
             if gone >= killed - ANSWER_EARLY_MS:
                 # Guards against set-ups that wait for longer than this process lives.
                 self.exchange.refuse_open()
             gevent.sleep(STOP_LOOK_S)
+        self.handover.finish()
 
 
 def main() -> int:
@@ -142,17 +173,22 @@
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until there is something to reload
     try:
         config = read_config(os.environ)
+        folder = os.environ.get("TMPDIR", "")
+        legacy = ask(path_of(config, folder)) if folder else None
+        if legacy is not None:
+            config = legacy.renew(config)
         softswitch = Softswitch(config, Clock())
-        softswitch.start(config)
+        stop = Event()
+        gevent.signal_handler(signal.SIGTERM, stop.set)
+        gevent.signal_handler(signal.SIGINT, stop.set)
+        softswitch.start(config, legacy, folder)
     except ConfigError as trouble:
         print(f"pearloom: {trouble}", file=sys.stderr)
         return 2
     except OSError as trouble:
-        print(f"pearloom: can't listen on {config.listen[0]}:{config.listen[1]}: {trouble}", file=sys.stderr)
+        where = [f"{one[0]}:{one[1]}" for one in (config.listen, config.management) if one]
+        print(f"pearloom: can't listen on {' or '.join(where)}: {trouble}", file=sys.stderr)
         return 2
-    stop = Event()
-    gevent.signal_handler(signal.SIGTERM, stop.set)
-    gevent.signal_handler(signal.SIGINT, stop.set)
     gevent.signal_handler(signal.SIGUSR1, softswitch.print_counters)
     gevent.signal_handler(signal.SIGHUP, softswitch.reload, os.environ)
     gc.freeze()
--- a/pearloom/net/callers.py
+++ b/pearloom/net/callers.py
@@ -6,6 +6,7 @@
 import math
 import re
 from collections import OrderedDict, deque
+from collections.abc import Callable
 from itertools import chain
 
 import gevent
@@ -17,7 +18,7 @@
 from pearloom.net.connection import Connection, Letter
 from pearloom.net.counters import Counters
 from pearloom.net.errors import Malformed
-from pearloom.net.exchange import Caller, Exchange, Offer
+from pearloom.net.exchange import FULL_STAY_AWAY_MS, Caller, Exchange, Offer
 from pearloom.net.isup import Cause, Code, Message, Type
 from pearloom.net.logs import note
 
@@ -202,6 +203,11 @@
 
     def _set_up(self, message: Message) -> None:
         exchange = self._side.exchange
+        if message.call in exchange.open_elsewhere:
+            # Guards against a second attempt of a set-up that the process before this one still has open.
+            self._side.counters.add("open_elsewhere")
+            self.refused(message.call, FULL_STAY_AWAY_MS)
+            return
         if exchange.is_open(message.call) or exchange.is_over(message.call):
             # Guards against an answer or a release that would be taken for that of another set-up.
             self._side.counters.add("bad_set_ups")
@@ -253,7 +259,13 @@
         self.exchange = exchange
         self.counters = counters
         self.stopping = False
-        self._emptying_since = math.inf
+        self.yielded = False  # another process accepts in place of this one
+        self.held_elsewhere = 0  # connections of the other process of an upgrade
+        self.elsewhere: Callable[[str, int], bool] = lambda call, cause: False  # who else can tell a release
+        self.listener: socket.socket | None = None
+        self._accepting: gevent.Greenlet[..., None] | None = None
+        self._drained_since = math.inf
+        self._yielded_since = math.inf
         self._looks = False
         self._kept: CallerConnection | None = None  # while emptied: what releases are told on
         self._clock = clock
@@ -277,26 +289,52 @@
     @property
     def takes_work(self) -> bool:
         """Is the front to send new callers here?"""
-        return not self.stopping and self._emptying_since == math.inf
+        return not self.drained and (self.yielded or not self.stopping)
+
+    @property
+    def drained(self) -> bool:
+        """Has an operator asked for a drain?"""
+        return self._drained_since < math.inf
+
+    @property
+    def connections(self) -> int:
+        """How many are held."""
+        return len(self._connections)
 
     @property
     def emptied_ms(self) -> float:
         """For how long connections have been emptied; below 0 where they are not."""
-        return self._clock.now_ms() - self._emptying_since
+        return self._clock.now_ms() - min(self._drained_since, self._yielded_since)
 
-    def empty(self) -> None:
+    def drain(self) -> None:
         """Fail tests, and let go of each connection once nothing is under way on it; may be repeated."""
-        self._emptying_since = min(self._emptying_since, self._clock.now_ms())
+        self._drained_since = min(self._drained_since, self._clock.now_ms())
+        self._empty()
+
+    def activate(self) -> None:
+        """Take work again; may be repeated."""
+        self._drained_since = math.inf
+
+    def yield_(self) -> None:
+        """Another process accepts from now on: stop, and let go of what is here."""
+        if not self.yielded and self._accepting is not None:
+            self._accepting.kill()
+            self.yielded, self._yielded_since = True, self._clock.now_ms()
+            self._empty()
+
+    def resume(self) -> None:
+        """The other process is gone: accept again."""
+        self.yielded, self._yielded_since = False, math.inf
+        if self.listener is not None:
+            self._accepting = gevent.spawn(self._accept, self.listener)
+
+    def _empty(self) -> None:
         if not self._looks:
             self._looks = True
             self._look()
 
-    def fill(self) -> None:
-        """Take work again; may be repeated."""
-        self._emptying_since = math.inf
-
     def _look(self) -> None:
-        self._looks = self._emptying_since < math.inf
+        self._looks = self.drained or self.yielded
         if self._looks:
             now, emptied = self._clock.now_ms(), self.emptied_ms
             kept = self._kept = self._keep()
@@ -308,8 +346,8 @@
     def _keep(self) -> CallerConnection | None:
         """Guards against releases of standing calls that have no connection to be told on: one that brought
         a standing call stays for as long as anything stands."""
-        if not self.exchange.standing_calls:
-            return None
+        if not self.exchange.standing_calls or self.yielded:
+            return None  # or another process has them
         if self._kept is not None and not self._kept.connection.closed:
             return self._kept
         for caller in self.exchange.callers_of_standing():
@@ -321,9 +359,16 @@
         """Open the listening socket, take connections from now on, and return where."""
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        # Guards against a new version that can't start beside one whose handover does not answer.
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
         sock.bind(address)
         sock.listen(BACKLOG)
-        gevent.spawn(self._accept, sock)
+        return self.accept_on(sock)
+
+    def accept_on(self, sock: socket.socket) -> Address:
+        """Take connections from a listening socket from now on, and return where it listens."""
+        self.listener = sock
+        self._accepting = gevent.spawn(self._accept, sock)
         self._watch()
         host, port = sock.getsockname()
         return host, port
@@ -353,7 +398,7 @@
     def _make_room(self) -> bool:
         """Guards against running out of descriptors: those go first that never brought a set-up, oldest
         first, then the one whose last set-up is longest ago. Where all have set-ups open there is no room."""
-        if len(self._connections) < self._most:
+        if len(self._connections) < self._most - self.held_elsewhere:
             return True
         silent = (caller for caller in self._connections if caller not in self._talkers)
         for caller in chain(silent, self._talkers):
@@ -435,7 +480,8 @@
             # Guards against connections that never brought a call: nobody may be listening there.
             chosen = next(reversed(self._talkers), None)
         if chosen is None:
-            self._unsent.append((call, cause))
+            if not self.elsewhere(call, cause):
+                self._unsent.append((call, cause))
         else:
             chosen.release(call, cause, since_ms)
 
--- a/pearloom/net/config.py
+++ b/pearloom/net/config.py
@@ -5,6 +5,7 @@
 import json
 from collections.abc import Mapping
 from dataclasses import dataclass
+from hashlib import sha256
 from pathlib import Path
 from typing import Any
 
@@ -51,6 +52,7 @@
     coordinator: Address
     known_index: int
     known: tuple[ListUpdate, ...]
+    known_digest: str  # the numbers of events count from the list that this stands for
     settings: api.Settings
     class_names: tuple[str, ...]
     most_width: int
@@ -105,6 +107,7 @@
             coordinator=read_address(told["coordinator"]),
             known_index=int(known.get("index", updates[-1].index if updates else 0)),
             known=updates,
+            known_digest=sha256(json.dumps(known, sort_keys=True).encode()).hexdigest(),
             settings=read_settings(params),
             class_names=tuple(str(service["name"]) for service in told["settings"]["services"]),
             most_width=max(
--- a/pearloom/net/coordinator.py
+++ b/pearloom/net/coordinator.py
@@ -96,10 +96,11 @@
     def __init__(self, address: Address, index: int, exchange: Exchange, counters: Counters) -> None:
         """Follow from event `index` on."""
         self._address = address
-        self._index = index
+        self.index = index  # of the last event
         self._exchange = exchange
         self._counters = counters
         self._sock: socket.socket | None = None
+        self.heard = False  # has a coordinator told anything, if only that there is nothing new?
 
     def start(self) -> None:
         """Follow from now on."""
@@ -118,9 +119,9 @@
             try:
                 self._connection()
             except OSError as trouble:
-                note(logging.WARNING, "coordinator_lost", index=self._index, reason=str(trouble))
+                note(logging.WARNING, "coordinator_lost", index=self.index, reason=str(trouble))
             except Exception:
-                crashed("coordinator_failed", index=self._index)
+                crashed("coordinator_failed", index=self.index)
             gevent.sleep(REDIAL_S)
 
     def _connection(self) -> None:
@@ -129,7 +130,7 @@
         try:
             sock.settimeout(DIAL_S)
             sock.connect(self._address)
-            sock.sendall(self._index.to_bytes(8, "big"))
+            sock.sendall(self.index.to_bytes(8, "big"))
             sock.settimeout(SILENT_S)
             decoder = Decoder()
             while True:
@@ -143,12 +144,13 @@
 
     def take(self, update: ListUpdate | Nothing | Malformed) -> None:
         """One event; one that is known already changes nothing."""
+        self.heard = True
         if isinstance(update, Malformed):
             note(logging.WARNING, "coordinator_malformed", reason=update.reason)
             if update.fatal:
                 raise ConnectionError("malformed")
-        elif isinstance(update, ListUpdate) and update.index > self._index:
-            self._index = update.index
+        elif isinstance(update, ListUpdate) and update.index > self.index:
+            self.index = update.index
             self._counters.add("list_events_in")
             states = ",".join(f"{one.entry.server}:{one.entry.state.value}" for one in update.servers)
             note(logging.INFO, "list", index=update.index, whole=update.whole, servers=states)
--- a/pearloom/net/exchange.py
+++ b/pearloom/net/exchange.py
@@ -73,6 +73,19 @@
         """Given up."""
 
 
+class _Nobody:
+    """Stands for the caller of an inherited call: who brought it is not known here."""
+
+    def stands(self, call: str, description: bytes) -> None:
+        pass
+
+    def refused(self, call: str, stay_away_ms: float) -> None:
+        pass
+
+    def failed(self, call: str) -> None:
+        pass
+
+
 class CallerSide(Protocol):
     """All callers."""
 
@@ -152,6 +165,7 @@
         self._telling = False
         self._timers: list[tuple[float, int, Callable[[], None]]] = []
         self._timer_count = 0
+        self.open_elsewhere: set[str] = set()  # open at the other process of an upgrade
         self._callers: CallerSide
         self._servers: ServerSide
 
@@ -186,6 +200,37 @@
         """Does this call stand there?"""
         return call in self._standing.get(server, ())
 
+    def standing(self) -> Iterator[tuple[str, str, str, float]]:
+        """Each call that stands: its id, its server, the number called, since when."""
+        for server, calls in self._standing.items():
+            for name, call in calls.items():
+                yield name, server, call.offer.number, call.stood_ms
+
+    def open_ids(self) -> set[str]:
+        """The calls that are owed an answer."""
+        return {name for name, call in self._calls.items() if not call.answered}
+
+    def inherit(self, name: str, server: str, number: str, stood_ms: float) -> bool:
+        """A call stands that the process before this one set up; False where it is known here."""
+        if name in self._calls or name in self._over:
+            return False
+        call = Call(Offer(name, -1, "", number, b"", 0.0, -1), _Nobody(), server=server, stood_ms=stood_ms)
+        call.answered = call.stands = True
+        self._calls[name] = call
+        self._standing.setdefault(server, {})[name] = call
+        return True
+
+    def drop(self, name: str) -> None:
+        """The other process of an upgrade has dealt with the end of this standing call."""
+        call = self._calls.get(name)
+        if call is not None and call.stands:
+            self._ended(call, Ending.ENDED)
+
+    def is_standing(self, name: str) -> bool:
+        """Does this call stand?"""
+        call = self._calls.get(name)
+        return call is not None and call.stands
+
     def callers_of_standing(self) -> Iterator[Caller]:
         """Who brought the calls that stand, at each server the youngest call first."""
         for calls in self._standing.values():
@@ -468,6 +513,8 @@
         self._standing[call.server].pop(name, None)
         call.stands = False
         self._forget(call)
+        if not call.attempts:
+            return  # an inherited call, of which the module has never heard
         self._tell(
             api.AttemptEnded(
                 call=name,
--- a/pearloom/net/session_servers.py
+++ b/pearloom/net/session_servers.py
@@ -140,7 +140,7 @@
         self.server = server
         self._links: list[Link] = []
         self._dead = False  # while its connections are closed since it is dead
-        self._dialling = False
+        self.dialling = False
         self._failed_dials = 0
         self._waiting: list[Letter] = []
         self._set_ups: dict[str, _SetUpLetter] = {}
@@ -162,7 +162,7 @@
     @property
     def idle(self) -> bool:
         """Is it gone, with nothing left to do?"""
-        busy = self._owing or self._dialling or self._waiting
+        busy = self._owing or self.dialling or self._waiting
         return self.server.entry.state is PoolState.GONE and not busy
 
     @property
@@ -265,8 +265,8 @@
 
     def dial(self) -> None:
         """Open a connection; what waits goes out on it."""
-        if not self._dialling:
-            self._dialling = True
+        if not self.dialling:
+            self.dialling = True
             gevent.spawn(self._dial)
 
     def _dial(self) -> None:
@@ -281,10 +281,10 @@
             link = Link(self, sock, self._side.clock.now_ms())
         except OSError as trouble:
             sock.close()
-            self._dialling = False
+            self.dialling = False
             self._dial_failed(isinstance(trouble, ConnectionRefusedError), str(trouble))
             return
-        self._dialling = False
+        self.dialling = False
         self._failed_dials = 0
         self._heard_ms = self._side.clock.now_ms()
         self._links.append(link)
@@ -524,10 +524,26 @@
             if trunk.name not in named:
                 trunk.update(gone(trunk.server))
 
+    def listing(self) -> list[Server]:
+        """The list as it is now."""
+        servers = [trunk.server for trunk in self._trunks.values()]
+        return [server for server in servers if server.entry.state is not PoolState.GONE]
+
+    @property
+    def settled(self) -> bool:
+        """Has each connection that was asked for come up, or failed?"""
+        return not any(trunk.dialling for trunk in self._trunks.values())
+
+    def dial_all(self) -> None:
+        """Open a further connection to each server where anything stands."""
+        for trunk in self._trunks.values():
+            if self.exchange.standing_at(trunk.name):
+                trunk.dial()
+
     @property
     def discovered(self) -> int:
         """How many are in the list."""
-        return sum(one.server.entry.state is not PoolState.GONE for one in self._trunks.values())
+        return len(self.listing())
 
     def withdraw_unsent(self) -> None:
         """End what has not begun to leave for a server that is not ready."""
--- a/tests/player.py
+++ b/tests/player.py
@@ -3,7 +3,8 @@
 A recording is a text file. Each line is `who verb bytes`; blanks at its start continue the one before.
 Who: `c1`, `c2` … callers, `m1`, `m2` … operators, `s1`, `s2` … session servers, `co` and `cp`
 coordinators, `clock` (milliseconds to go on), `log` (a line expected), `unseen` (a line that must not have
-come), `sighup` (the configuration is read again and names that coordinator; `spoilt`: it can't be used).
+come), `sighup` (the configuration is read again and names that coordinator; `spoilt`: it can't be used),
+`upgrade` (a second softswitch takes over from the first).
 Verbs: `>` sent to the softswitch, `<` expected from it, next and exactly; `opens` (a caller connects, a
 server accepts; the rest is another name for the new connection), `ends` (half-close), `resets`, `closed`
 (expected of the softswitch), `stops` (no longer listens), `mutes` (new connections never come up).
@@ -26,6 +27,7 @@
 from pearloom.__main__ import Softswitch
 from pearloom.net.clock import Clock
 from pearloom.net.config import Config, read_config
+from pearloom.net.handover import ask
 
 START_MS = 1_800_000_000_000.0
 PATIENCE_S = 5.0  # real time: only a test that fails waits so long
@@ -107,6 +109,9 @@
         self.address = self.softswitch.callers.listen(("127.0.0.1", 0))
         self.operated = self.softswitch.management.listen(("127.0.0.1", 0))
         self.softswitch.serves = True
+        self.elders: list[Softswitch] = []
+        self.handover = folder / "handover.sock"
+        self.softswitch.handover.listen(self.handover)
         self.softswitch.servers.start()
         self.softswitch.coordinator.start()
 
@@ -151,7 +156,8 @@
     def step(self, who: str, verb: str, rest: str) -> None:
         if who == "clock":
             self.clock.set_ms(self.clock.now_ms() + float(verb))
-            self.softswitch.exchange.run_due()
+            for softswitch in (*self.elders, self.softswitch):
+                softswitch.exchange.run_due()
         elif who == "unseen":
             assert not any(verb in line for line in self.lines.events), "seen"
         elif who == "log":
@@ -162,6 +168,8 @@
             else:
                 self.config(self.folder, self.known, coordinator=verb)
             self.softswitch.reload({"BALANCER_CONFIG": str(self.folder / "config.json")})
+        elif who == "upgrade":
+            self.upgrade()
         elif verb == "opens" and who not in self.listeners:
             address = self.operated if who.startswith("m") else self.address
             self.peers[who] = socket.create_connection(address)
@@ -186,6 +194,16 @@
         else:
             raise AssertionError("no such step")
 
+    def upgrade(self) -> None:
+        """A second softswitch takes over; in a test both are in one process."""
+        legacy = ask(self.handover)
+        assert legacy is not None, "no handover"
+        config = legacy.renew(self.config(self.folder, self.known))
+        self.elders.append(self.softswitch)
+        self.softswitch = Softswitch(config, self.clock)
+        self.softswitch.start(config, legacy, "")
+        self.softswitch.handover.listen(self.handover)
+
     def mute(self, who: str) -> None:
         """Fill the queue of connections that are not accepted; the system then drops further ones."""
         self.listeners.pop(who).close()
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import os
 import signal
@@ -30,13 +31,13 @@
 }
 
 
-def start(folder: Path, told: object) -> subprocess.Popen[str]:
+def start(folder: Path, told: object, **more: str) -> subprocess.Popen[str]:
     path = folder / "config.json"
     path.write_text(told if isinstance(told, str) else json.dumps(told))
     return subprocess.Popen(
         [sys.executable, "-m", "pearloom"],
         cwd=ROOT,
-        env={**os.environ, "BALANCER_CONFIG": str(path)},
+        env={**os.environ, "BALANCER_CONFIG": str(path), **more},
         stderr=subprocess.PIPE,
         text=True,
     )
@@ -124,6 +125,82 @@
             caller.close()
 
 
+def await_line(process: subprocess.Popen[str], event: str) -> None:
+    assert process.stderr is not None
+    while f"event={event}" not in (line := process.stderr.readline()).split():
+        assert line, f"ended before {event}"
+
+
+def managed(address: tuple[str, int], path: str, method: str = "GET") -> bytes:
+    with socket.create_connection(address, timeout=5) as operator:
+        operator.sendall(f"{method} {path} HTTP/1.1\r\nHost: n1\r\n\r\n".encode())
+        return b"".join(iter(lambda: operator.recv(1000), b""))
+
+
+def test_upgrades_take_the_socket_and_the_standing_calls_and_survive_a_new_process_that_dies(
+    tmp_path: Path,
+) -> None:
+    address, operators = ("127.0.0.1", port()), [("127.0.0.1", port()) for _ in range(3)]
+    server = socket.create_server(("127.0.0.1", 0))
+    server.settimeout(5)
+    hosts = [{"host": "s-00000001", "dial": "127.0.0.1:%d" % server.getsockname()[1], "health": "in_service"}]
+    known = {"index": 1, "updates": [{"index": 1, "endpoints": {"whole": True, "hosts": hosts}}]}
+    told = {**TOLD, "listen": f"127.0.0.1:{address[1]}", "known": known}
+    with socket.socket(socket.AF_UNIX) as stale:
+        stale.bind(str(tmp_path / f"pearloom-127.0.0.1-{address[1]}.sock"))  # of a process that is gone
+    call = "9b1f03aa5c7e2d41"
+
+    def begin(number: int) -> subprocess.Popen[str]:
+        at = "{}:{}".format(*operators[number])
+        process = start(tmp_path, told, TMPDIR=str(tmp_path), BALANCER_MANAGEMENT=at)
+        await_line(process, "started")
+        assert managed(operators[number], "/v1/readyz").startswith(b"HTTP/1.1 200 ")
+        return process
+
+    first = begin(0)
+    trunk, _ = server.accept()
+    caller = socket.create_connection(address, timeout=5)
+    caller.sendall(encode(f'(01 {call} 03("open-form") 06("3000") 0f("1") 12("dest:0"))'))
+    assert b"INVITE" in trunk.recv(1000)
+    head = f"Call-ID: {call}\r\nCSeq: 1 INVITE\r\n"
+    trunk.sendall(f"SIP/2.0 200 OK\r\n{head}Content-Length: 1\r\n\r\nx".encode())
+    assert caller.recv(1000) == encode(f'(09 {call} 30("x"))')
+
+    dies = begin(1)
+    dies.kill()
+    dies.wait()
+    await_line(first, "handover_undone")
+    with socket.create_connection(address, timeout=5) as other:
+        assert ask(other) == encode(PASSED)  # the first one accepts again
+
+    second = begin(2)
+    assert managed(operators[0], "/v1/readyz").startswith(b"HTTP/1.1 503 ")
+    assert caller.recv(1) == b""
+    first.send_signal(signal.SIGTERM)
+    assert first.wait(5) == 0
+    with socket.create_connection(address, timeout=5) as other:
+        other.sendall(encode("(10 0000000000000002)"))
+        assert ask(other) == encode(PASSED)
+        trunks: list[socket.socket] = []
+        bye = f"BYE sip:peer@net SIP/2.0\r\nCall-ID: {call}\r\nCSeq: 9 BYE\r\nReason: Q.850;cause=16\r\n"
+        # The server tells it on each connection that it has; those of processes that are gone are reset.
+        other.settimeout(0.2)
+        heard = b""
+        for _ in range(20):
+            trunks.append(server.accept()[0])
+            with contextlib.suppress(OSError):
+                trunks[-1].sendall(f"{bye}Content-Length: 0\r\n\r\n".encode())
+            with contextlib.suppress(TimeoutError):
+                heard = other.recv(1000)
+                break
+        assert heard == encode(f"(0c {call} 2d(10))")
+    second.kill()
+    second.wait()
+    for one in (server, trunk, caller, *trunks, first.stderr, second.stderr, dies.stderr):
+        assert one is not None
+        one.close()
+
+
 def test_counters_are_printed_on_request(running: tuple[subprocess.Popen[str], socket.socket]) -> None:
     process, caller = running
     caller.sendall(encode('(01 9b1f03aa5c7e2d41 03("none"))'))
