--- a/pearloom/net/callers.py
+++ b/pearloom/net/callers.py
@@ -5,7 +5,7 @@
 import logging
 import math
 import re
-from collections import Counter, OrderedDict, deque
+from collections import OrderedDict, deque
 from collections.abc import Callable
 from itertools import chain, islice
 
@@ -39,7 +39,6 @@
 EMPTY_LOOK_MS = 50.0  # how often connections are looked at while the softswitch is emptied
 EMPTY_FOR_MS = 1800.0  # set-ups that come later are refused: after 4 s none younger than 2 s may be open
 EMPTY_INSIDE_MS = 2800.0  # and later nobody may still be sending one
-CARRIED = 12  # while drained: connections stay that brought so many of the calls that stand, or all of them
 RELEASES_KEPT = 20_000  # releases that wait for a connection
 _NUMBER = re.compile(r"[0-9A-Za-z+*#._-]{1,64}")
 _MILLISECONDS = re.compile(r"[0-9]{1,9}(\.[0-9]{1,6})?")
@@ -268,7 +267,6 @@
         self._drained_since = math.inf
         self._yielded_since = math.inf
         self._looks = False
-        self._kept: list[CallerConnection] = []  # while drained: what releases are told on
         self._clock = clock
         self._kinds = {name: number for number, name in enumerate(config.class_names)}
         self._figure_bounds = {**_FIGURE_BOUNDS, "width": (1, config.most_width)}
@@ -338,29 +336,22 @@
         self._looks = self.drained or self.yielded
         if self._looks:
             now, emptied = self._clock.now_ms(), self.emptied_ms
-            kept = self._kept = self._keep() if self.drained else []
+            kept = self._keep()
             for caller in list(self._connections):
                 if caller not in kept:
                     caller.retire(now, emptied)
             self.exchange.after_ms(EMPTY_LOOK_MS, self._look)
 
-    def _keep(self) -> list[CallerConnection]:
+    def _keep(self) -> set[CallerConnection]:
         """Guards against releases of standing calls that have no connection to be told on.
 
-        Those stay that brought the most of what stands, each until all that it brought is over: a connection
-        that carries no call is idle, and the last one may go only when nothing stands."""
-        if self.yielded:
-            return []  # the other process has them
-        brought: Counter[object] = Counter(self.exchange.callers_of_standing())
-        kept = [caller for caller in self._kept if not caller.connection.closed]
-        if not kept:
-            open_yet = [caller for caller in self._connections if brought[caller]]
-            for caller in sorted(open_yet, key=lambda one: -brought[one]):
-                if sum(brought[one] for one in kept) < CARRIED:
-                    kept.append(caller)
-        if not kept:
-            kept = list(islice(reversed(self._talkers), 1))
-        return [caller for caller in kept if brought[caller]] or kept[: min(brought.total(), 1)]
+        A connection stays until all that it brought is over: what carries no call is idle. For calls whose
+        own connection is gone, the last that dealt with a call stays."""
+        if not self.drained or self.yielded or not self.exchange.standing_calls:
+            return set()  # or the other process has them
+        brought = set(self.exchange.callers_of_standing())
+        kept = {caller for caller in self._connections if caller in brought}
+        return kept or set(islice(reversed(self._talkers), 1))
 
     def listen(self, address: Address) -> Address:
         """Open the listening socket, take connections from now on, and return where."""
