Close the silent before the slow when connections run out, a few at a time

callers.py _make_room closed the oldest connection that had not brought a set-up, so a caller that was still writing its first one went before a thousand that had asked once and stayed; and a message had 2.0 s, as long as the slowest take.

--- a/pearloom/net/callers.py
+++ b/pearloom/net/callers.py
@@ -7,7 +7,7 @@
 import re
 from collections import OrderedDict, deque
 from collections.abc import Callable
-from itertools import chain, islice
+from itertools import islice
 
 import gevent
 from gevent import socket
@@ -30,7 +30,11 @@
 READ_BYTES = 8 * 1024  # from one caller a turn: at most some hundred set-ups, 20 ms of work
 MOST_OPEN_EACH = 256  # set-ups that one connection may have open
 WATCH_MS = 250.0  # how often connections are looked at
-SILENT_MS = 2000.0  # in which a connection, or a message that has begun, owes a whole message
+SILENT_MS = 2500.0  # in which a connection, or a message that has begun, owes a whole message; some take 2 s
+STALLED_MS = 700.0  # half a message on which nothing has come for so long may make room for others
+NEWCOMER_MS = 300.0  # so long a new connection that says nothing goes only where nothing else can
+EVICTED_SHARE = 1 / 32  # x connections: closed at once; to look at all of them for each new one costs much
+TALKERS_KEPT = 4  # connections that releases are told on; not closed for others
 UNUSED_MS = 5000.0  # a connection that never brought a set-up is closed after so long without a message
 UNHEARD_MS = 5000.0  # a release whose connection ends within this time, unconfirmed, is sent again
 MOST_DESCRIPTION = 15 * 1024  # bytes: with its headers it has to fit one SIP message
@@ -65,6 +69,7 @@
         self._opened_ms = now_ms
         self.heard_ms = now_ms  # when the last whole message came
         self.spoke = False  # has any come?
+        self._byte_ms = math.inf  # when the last byte came
         self._inside_ms = math.inf  # since when one has begun and is not whole
         self.open: set[str] = set()  # set-ups that are owed an answer on this connection
         self.unheard: OrderedDict[str, tuple[int, float]] = OrderedDict()  # releases sent: cause, when
@@ -105,13 +110,28 @@
         themselves after 4 s; one with a set-up open, or with bytes that are still to be read, stays."""
         if self.open or self._peer_ended:
             return ""
-        if now_ms - self._inside_ms > SILENT_MS:
+        if now_ms - (self._inside_ms if self.spoke else self._opened_ms) > SILENT_MS and self._decoder.inside:
             return "no whole message"
         still = now_ms - self.heard_ms
         if still > (UNUSED_MS if self.spoke else SILENT_MS) and not self._side.is_talker(self):
             return "" if self.connection.busy else "unused"
         return ""
 
+    def expendable(self, now_ms: float) -> tuple[int, float] | None:
+        """How soon this connection is closed to make room for another, the least first; None: never.
+
+        Guards against closing the slow instead of the silent: a caller that takes seconds to write its set-up
+        stays for as long as any other has asked and stays, says nothing, or carries no set-up."""
+        if self.open or self._peer_ended:
+            return None
+        if self._decoder.inside:
+            return (3, self._byte_ms) if now_ms - self._byte_ms > STALLED_MS else None
+        if self._side.is_talker(self):
+            return 2, self.heard_ms
+        if self.spoke:
+            return 0, self.heard_ms
+        return (1 if now_ms - self._opened_ms > NEWCOMER_MS else 4), self._opened_ms
+
     def retire(self, now_ms: float, emptied_ms: float) -> None:
         """Close this connection if nothing is under way on it; `emptied_ms`: for how long none is wanted.
 
@@ -142,6 +162,7 @@
             self._side.exchange.left(letter.call, Cause.TEMPORARY_FAILURE)
 
     def _data(self, data: bytes) -> None:
+        self._byte_ms = self._side.now_ms()
         for message in self._decoder.feed(data):
             self.heard_ms, self.spoke = self._side.now_ms(), True
             if not isinstance(message, Malformed):
@@ -394,18 +415,27 @@
                 gevent.sleep(0)
 
     def _make_room(self) -> bool:
-        """Guards against running out of descriptors: those go first that never brought a set-up, oldest
-        first, then the one whose last set-up is longest ago. Where all have set-ups open there is no room."""
+        """Guards against running out of descriptors; where all have set-ups under way there is no room."""
         if len(self._connections) < self._most - self.held_elsewhere:
             return True
-        silent = (caller for caller in self._connections if caller not in self._talkers)
-        for caller in chain(silent, self._talkers):
-            if not caller.open and not caller.connection.busy:
+        now = self.now_ms()
+        kept = set(islice(reversed(self._talkers), TALKERS_KEPT))
+        ranked = [
+            (rank, number, caller)
+            for number, caller in enumerate(self._connections)
+            if caller not in kept and (rank := caller.expendable(now)) is not None
+        ]
+        closed = 0
+        for (kind, _), _, caller in sorted(ranked):
+            if closed >= max(EVICTED_SHARE * self._most, 1) or (closed and kind > 1):
+                break
+            if not caller.connection.busy:
+                closed += 1
                 self.counters.add("caller_connections_closed")
                 caller.connection.close("too many connections")
-                return True
-        note(logging.WARNING, "caller_connections_full", most=self._most)
-        return False
+        if not closed:
+            note(logging.WARNING, "caller_connections_full", most=self._most)
+        return closed > 0
 
     def _watch(self) -> None:
         """Called now and then: close what says nothing."""
