Bound what is read after an operator's answer, and what a look for room may cost

Two loops that could cost as much were found by reading: management.py finish read on for as long as a caller sent, without giving others their turn, and _make_room asked every connection of a full table whether it had something to read, for each new one. Both are bounded now.

--- a/pearloom/net/callers.py
+++ b/pearloom/net/callers.py
@@ -34,6 +34,7 @@
 STALLED_MS = 700.0  # half a message on which nothing has come for so long may make room for others
 NEWCOMER_MS = 300.0  # so long a new connection that says nothing goes only where nothing else can
 EVICTED_SHARE = 1 / 32  # x connections: closed at once; to look at all of them for each new one costs much
+MOST_LOOKS = 32  # how many of them are asked whether they can go
 TALKERS_KEPT = 4  # connections that releases are told on; not closed for others
 UNUSED_MS = 5000.0  # a connection that never brought a set-up is closed after so long without a message
 UNHEARD_MS = 5000.0  # a release whose connection ends within this time, unconfirmed, is sent again
@@ -426,7 +427,8 @@
             if caller not in kept and (rank := caller.expendable(now)) is not None
         ]
         closed = 0
-        for (kind, _), _, caller in sorted(ranked):
+        # Guards against a crowd that all have something to read: to ask each of them costs too much.
+        for (kind, _), _, caller in sorted(ranked)[:MOST_LOOKS]:
             if closed >= max(EVICTED_SHARE * self._most, 1) or (closed and kind > 1):
                 break
             if not caller.connection.busy:
--- a/pearloom/net/management.py
+++ b/pearloom/net/management.py
@@ -22,6 +22,7 @@
 CALL_S = 1.0  # from the connection to the last byte of the call: silent callers stay for seconds
 GOODBYE_S = 0.25  # for what a caller still sends after its answer: closing on it would reset the answer
 MOST_BYTES = 8 * 1024  # of a call, its body included
+MOST_AFTER = 256 * 1024  # read, and thrown away, of what a caller sends after its call
 READ_BYTES = 4 * 1024
 MOST_CALLS_SHARE = 1 / 24  # x descriptors: calls at once; the callers of set-ups never use these
 LEAST_CALLS, MOST_CALLS = 8, 24
@@ -117,8 +118,11 @@
         """Write the answer, and read on until the caller has it: closing before would reset it."""
         self.sock.sendall(answer)
         self.sock.shutdown(socket.SHUT_WR)
-        while self.sock.recv(READ_BYTES):
-            pass
+        left = MOST_AFTER
+        while left > 0 and (data := self.sock.recv(READ_BYTES)):
+            left -= len(data)
+            # Guards against a caller that sends without end, and keeps everybody else from their turn.
+            gevent.sleep(0)
 
     def _oversized(self) -> HTTPStatus:
         if self._headed:
