--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -201,6 +201,24 @@
         one.close()
 
 
+def test_a_new_process_listens_beside_one_whose_handover_does_not_answer(tmp_path: Path) -> None:
+    address, operators = ("127.0.0.1", port()), ("127.0.0.1", port())
+    told = {**TOLD, "listen": f"127.0.0.1:{address[1]}"}
+    hung = start(tmp_path, told, TMPDIR=str(tmp_path))
+    await_line(hung, "started")
+    hung.send_signal(signal.SIGSTOP)
+    at = "{}:{}".format(*operators)
+    beside = start(tmp_path, told, TMPDIR=str(tmp_path), BALANCER_MANAGEMENT=at)
+    await_line(beside, "handover_unanswered")
+    await_line(beside, "started")
+    assert managed(operators, "/v1/readyz").startswith(b"HTTP/1.1 200 ")
+    for process in (hung, beside):
+        process.kill()
+        process.wait()
+        assert process.stderr is not None
+        process.stderr.close()
+
+
 def test_counters_are_printed_on_request(running: tuple[subprocess.Popen[str], socket.socket]) -> None:
     process, caller = running
     caller.sendall(encode('(01 9b1f03aa5c7e2d41 03("none"))'))
