--- a/pearloom/net/callers.py
+++ b/pearloom/net/callers.py
@@ -15,7 +15,7 @@
 from pearloom.net import isup
 from pearloom.net.clock import Clock
 from pearloom.net.config import Address, Config
-from pearloom.net.connection import Connection, Letter
+from pearloom.net.connection import Connection, Letter, accepted
 from pearloom.net.counters import Counters
 from pearloom.net.errors import Malformed
 from pearloom.net.exchange import FULL_STAY_AWAY_MS, Caller, Exchange, Offer
@@ -394,15 +394,7 @@
         return host, port
 
     def _accept(self, listener: socket.socket) -> None:
-        accepted = 0
-        while True:
-            try:
-                sock, _ = listener.accept()
-            except OSError as trouble:
-                # Guards against a busy loop when descriptors run out: the connection stays in the backlog.
-                note(logging.ERROR, "accept_failed", errno=trouble.errno)
-                gevent.sleep(0.05)
-                continue
+        for number, sock in enumerate(accepted(listener, "callers"), start=1):
             self.counters.add("caller_connections")
             if self._make_room():
                 caller = CallerConnection(self, sock, self.now_ms())
@@ -410,8 +402,7 @@
                 caller.connection.start()
             else:
                 sock.close()
-            accepted += 1
-            if accepted % ACCEPTS_A_TURN == 0:
+            if number % ACCEPTS_A_TURN == 0:
                 # Guards against hundreds of new connections that keep all others from their turn.
                 gevent.sleep(0)
 
--- a/pearloom/net/connection.py
+++ b/pearloom/net/connection.py
@@ -2,17 +2,18 @@
 
 from __future__ import annotations
 
+import logging
 import select
 import socket as plain_socket
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 import gevent
 from gevent import socket
 from gevent.event import Event
 
 from pearloom.net.errors import Progress
-from pearloom.net.logs import crashed
+from pearloom.net.logs import crashed, note
 
 READ_BYTES = 64 * 1024
 MOST_QUEUED = 128 * 1024  # bytes: what a reader may be behind; 400 such connections still fit the memory
@@ -169,5 +170,19 @@
             self._queued -= len(self._queue.popleft().data)
 
 
+def accepted(listener: socket.socket, at: str) -> Iterator[socket.socket]:
+    """Each new connection, for ever.
+
+    Guards against a busy loop when descriptors run out: the connection stays in the queue."""
+    while True:
+        try:
+            sock, _ = listener.accept()
+        except OSError as trouble:
+            note(logging.ERROR, "accept_failed", errno=trouble.errno, at=at)
+            gevent.sleep(0.05)
+        else:
+            yield sock
+
+
 def _reason(trouble: OSError) -> str:
     return type(trouble).__name__ if trouble.errno is None else f"errno {trouble.errno}"
--- a/pearloom/net/handover.py
+++ b/pearloom/net/handover.py
@@ -24,6 +24,7 @@
 from pearloom.interface import PoolEntry, PoolState
 from pearloom.net.callers import Callers
 from pearloom.net.config import Config, ListUpdate, Server
+from pearloom.net.connection import accepted
 from pearloom.net.coordinator import Coordinator
 from pearloom.net.exchange import Exchange
 from pearloom.net.logs import crashed, note
@@ -224,13 +225,7 @@
 
     # --- as the elder ---------------------------------------------------------------------------------------
     def _accept(self, listener: socket.socket) -> None:
-        while True:
-            try:
-                sock, _ = listener.accept()
-            except OSError as trouble:
-                note(logging.ERROR, "accept_failed", errno=trouble.errno, at="handover")
-                gevent.sleep(0.05)
-                continue
+        for sock in accepted(listener, "handover"):
             gevent.spawn(self._give, sock)
 
     def _give(self, sock: socket.socket) -> None:
--- a/pearloom/net/management.py
+++ b/pearloom/net/management.py
@@ -5,7 +5,6 @@
 
 from __future__ import annotations
 
-import logging
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from http import HTTPStatus
@@ -15,8 +14,9 @@
 from gevent import socket
 
 from pearloom.net.config import Address
+from pearloom.net.connection import accepted
 from pearloom.net.counters import Counters
-from pearloom.net.logs import crashed, note
+from pearloom.net.logs import crashed
 
 BACKLOG = 256
 CALL_S = 1.0  # from the connection to the last byte of the call: silent callers stay for seconds
@@ -152,13 +152,7 @@
         return host, port
 
     def _accept(self, listener: socket.socket) -> None:
-        while True:
-            try:
-                sock, _ = listener.accept()
-            except OSError as trouble:
-                note(logging.ERROR, "accept_failed", errno=trouble.errno, at="management")
-                gevent.sleep(0.05)
-                continue
+        for sock in accepted(listener, "management"):
             call = _Call(sock)
             self._make_room()
             self._calls[call] = None
