--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -29,18 +29,31 @@
     "limits": {"sockets": 64},
     "settings": SETTINGS,
 }
+STARTED: list[subprocess.Popen[str]] = []
 
 
 def start(folder: Path, told: object, **more: str) -> subprocess.Popen[str]:
     path = folder / "config.json"
     path.write_text(told if isinstance(told, str) else json.dumps(told))
-    return subprocess.Popen(
+    process = subprocess.Popen(
         [sys.executable, "-m", "pearloom"],
         cwd=ROOT,
         env={**os.environ, "BALANCER_CONFIG": str(path), **more},
         stderr=subprocess.PIPE,
         text=True,
     )
+    STARTED.append(process)
+    return process
+
+
+@pytest.fixture(autouse=True)
+def ended() -> Iterator[None]:
+    """Guards against processes that a test leaves behind when it fails."""
+    yield
+    while STARTED:
+        process = STARTED.pop()
+        process.kill()
+        process.wait()
 
 
 def port() -> int:
