Lay packages out by concern and make each trunk by what its server speaks

A second protocol has to stand beside the first on both sides, and `net/` held everything in one room with SIP as the only server side. `core`, `binary`, `sip`, `servers` and `admin` take its place; `Directory` keeps one `Trunk` a server, made by protocol. The exchange lets an attempt's end follow after it was given up, for protocols in which only the peer's acknowledgement proves it, and passes media between sides that carry any.

--- a/pearloom/__main__.py
+++ b/pearloom/__main__.py
@@ -14,16 +14,17 @@
 from gevent.event import Event
 
 from pearloom import interface as api
-from pearloom.net.callers import Callers
-from pearloom.net.clock import Clock
-from pearloom.net.config import Config, ConfigError, read_config
-from pearloom.net.coordinator import Coordinator, cached
-from pearloom.net.counters import Counters, Figures
-from pearloom.net.exchange import Exchange
-from pearloom.net.handover import Handover, Legacy, ask, path_of
-from pearloom.net.logs import configure, note
-from pearloom.net.management import Answer, Management, Route
-from pearloom.net.session_servers import SessionServers
+from pearloom.admin.handover import Handover, Legacy, ask, path_of
+from pearloom.admin.management import Answer, Management, Route
+from pearloom.binary.callers import Callers
+from pearloom.core.clock import Clock
+from pearloom.core.config import Config, ConfigError, read_config
+from pearloom.core.counters import Counters, Figures
+from pearloom.core.exchange import Exchange
+from pearloom.core.logs import configure, note
+from pearloom.servers.coordinator import Coordinator, cached
+from pearloom.servers.directory import SIP, Directory
+from pearloom.sip.trunk import Trunk
 
 # At a planned restart set-ups keep coming for up to 0.4 s on new connections and 0.2 s more on open ones.
 STILL_COMING_MS = 900.0
@@ -57,7 +58,8 @@
             config.memory_mb,
         )
         self.callers = Callers(self.exchange, clock, self.counters, config)
-        self.servers = SessionServers(self.exchange, clock, self.counters, config.dial_timeout_ms)
+        makers = {SIP: lambda side, server: Trunk(side, server, config.dial_timeout_ms)}
+        self.servers = Directory(self.exchange, clock, self.counters, makers)
         self.exchange.attach(self.callers, self.servers)
         self.exchange.told(api.ListKind.CACHED, cached(config.known))
         self.coordinator = Coordinator(config.coordinator, config.known_index, self.exchange, self.counters)
--- /dev/null
+++ b/pearloom/admin/__init__.py
@@ -0,0 +1,1 @@
+"""Operators' calls and upgrades."""
--- a/pearloom/net/handover.py
+++ b/pearloom/admin/handover.py
@@ -21,14 +21,14 @@
 from gevent import socket
 from gevent.event import Event
 
+from pearloom.binary.callers import Callers
+from pearloom.core.config import Config, ListUpdate, Server
+from pearloom.core.connection import accepted
+from pearloom.core.exchange import Exchange
+from pearloom.core.logs import crashed, note
 from pearloom.interface import PoolEntry, PoolState
-from pearloom.net.callers import Callers
-from pearloom.net.config import Config, ListUpdate, Server
-from pearloom.net.connection import accepted
-from pearloom.net.coordinator import Coordinator
-from pearloom.net.exchange import Exchange
-from pearloom.net.logs import crashed, note
-from pearloom.net.session_servers import SessionServers
+from pearloom.servers.coordinator import Coordinator
+from pearloom.servers.directory import Directory
 
 PATIENCE_S = 1.5  # for an elder that does not answer: it hangs, and the younger listens beside it
 LOOK_S = 0.03  # how often either tells the other what has changed
@@ -151,7 +151,7 @@
         known_digest: str,
         exchange: Exchange,
         callers: Callers,
-        servers: SessionServers,
+        servers: Directory,
         coordinator: Coordinator,
     ) -> None:
         """Neither elder nor younger yet."""
--- a/pearloom/net/management.py
+++ b/pearloom/admin/management.py
@@ -13,10 +13,10 @@
 import httptools
 from gevent import socket
 
-from pearloom.net.config import Address
-from pearloom.net.connection import accepted
-from pearloom.net.counters import Counters
-from pearloom.net.logs import crashed
+from pearloom.core.config import Address
+from pearloom.core.connection import accepted
+from pearloom.core.counters import Counters
+from pearloom.core.logs import crashed
 
 BACKLOG = 256
 CALL_S = 1.0  # from the connection to the last byte of the call: silent callers stay for seconds
--- /dev/null
+++ b/pearloom/binary/__init__.py
@@ -0,0 +1,1 @@
+"""Callers of the binary protocol: their messages and their listener."""
--- a/pearloom/net/callers.py
+++ b/pearloom/binary/callers.py
@@ -12,15 +12,15 @@
 import gevent
 from gevent import socket
 
-from pearloom.net import isup
-from pearloom.net.clock import Clock
-from pearloom.net.config import Address, Config
-from pearloom.net.connection import Connection, Letter, accepted
-from pearloom.net.counters import Counters
-from pearloom.net.errors import Malformed
-from pearloom.net.exchange import FULL_STAY_AWAY_MS, Caller, Exchange, Offer
-from pearloom.net.isup import Cause, Code, Message, Type
-from pearloom.net.logs import note
+from pearloom.binary import isup
+from pearloom.binary.isup import Cause, Code, Message, Type
+from pearloom.core.clock import Clock
+from pearloom.core.config import Address, Config
+from pearloom.core.connection import Connection, Letter, accepted
+from pearloom.core.counters import Counters
+from pearloom.core.errors import Malformed
+from pearloom.core.exchange import FULL_STAY_AWAY_MS, Caller, Exchange, Media, Offer
+from pearloom.core.logs import note
 
 CONNECTIONS_SHARE = 0.6  # x descriptors: callers hold at most a third; the rest is for servers and files
 BASE_MB = 14.0  # what the program takes with no connection
@@ -96,6 +96,10 @@
         self.open.discard(call)
         self._send_release(call, Cause.TEMPORARY_FAILURE)
 
+    def media(self, call: str, media: Media) -> None:
+        """Signalling alone goes here: what is said in a call reaches the caller as its description says."""
+        self._side.counters.add("media_dropped")
+
     # --- the rest
     def release(self, call: str, cause: int, since_ms: float) -> None:
         """A call that stood is over, and its caller has been told since then, if not on this connection."""
--- a/pearloom/net/isup.py
+++ b/pearloom/binary/isup.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass, field
 from enum import IntEnum
 
-from pearloom.net.errors import Malformed
+from pearloom.core.errors import Malformed
 
 MOST_BYTES = 16 * 1024
 _LENGTH = struct.Struct(">H")
--- a/pearloom/net/connection.py
+++ b/pearloom/core/connection.py
@@ -12,8 +12,8 @@
 from gevent import socket
 from gevent.event import Event
 
-from pearloom.net.errors import Progress
-from pearloom.net.logs import crashed, note
+from pearloom.core.errors import Progress
+from pearloom.core.logs import crashed, note
 
 READ_BYTES = 64 * 1024
 MOST_QUEUED = 128 * 1024  # bytes: what a reader may be behind; 400 such connections still fit the memory
--- a/pearloom/net/counters.py
+++ b/pearloom/core/counters.py
@@ -6,7 +6,7 @@
 from collections import Counter
 from collections.abc import Sequence
 
-from pearloom.net.logs import note
+from pearloom.core.logs import note
 
 
 class Counters:
--- a/pearloom/net/exchange.py
+++ b/pearloom/core/exchange.py
@@ -14,12 +14,12 @@
 from typing import Protocol
 
 from pearloom import interface as api
+from pearloom.core.clock import Clock
+from pearloom.core.config import Server
+from pearloom.core.counters import Counters, Figures
+from pearloom.core.errors import AttemptError, Progress
+from pearloom.core.logs import crashed, note
 from pearloom.interface import Ending
-from pearloom.net.clock import Clock
-from pearloom.net.config import Server
-from pearloom.net.counters import Counters, Figures
-from pearloom.net.errors import AttemptError, Progress
-from pearloom.net.logs import crashed, note
 from pearloom.policy import Controller
 
 # Q.850 causes, the words in which all telephone protocols say why a call is over.
@@ -49,6 +49,7 @@
     patience_ms: float
     first_choice: int
     was_cut: bool = False
+    codec: int = 0  # what the caller's media are in, as RFC 5456 (8.7) numbers codecs; 0: none come this way
 
 
 @dataclass(slots=True)
@@ -60,6 +61,15 @@
     ring_ms: float
 
 
+@dataclass(frozen=True, slots=True)
+class Media:
+    """One piece of what is said in a standing call, where a protocol carries that beside the signalling."""
+
+    codec: int  # as RFC 5456 (8.7) numbers them
+    stamp_ms: int  # since its leg began
+    payload: bytes
+
+
 class Caller(Protocol):
     """Whoever brought a call and is owed its one final answer."""
 
@@ -72,6 +82,9 @@
     def failed(self, call: str) -> None:
         """Given up."""
 
+    def media(self, call: str, media: Media) -> None:
+        """The server's side says something in this standing call."""
+
 
 class _Nobody:
     """Stands for the caller of an inherited call: who brought it is not known here."""
@@ -85,6 +98,9 @@
     def failed(self, call: str) -> None:
         pass
 
+    def media(self, call: str, media: Media) -> None:
+        pass
+
 
 class CallerSide(Protocol):
     """All callers."""
@@ -109,12 +125,18 @@
     def set_up(self, server: str, set_up: SetUp) -> None:
         """Send an attempt; its end or answer comes back to the exchange."""
 
-    def give_up(self, server: str, call: str) -> Progress:
-        """End the attempt that is out; nothing more comes of it. Returns how far it had come."""
+    def give_up(self, server: str, call: str) -> Progress | None:
+        """End the attempt that is out; no answer comes of it any more.
+
+        Returns how far it had come. None: the server may still be at work on it; `Exchange.attempt_ended`
+        follows within a second."""
 
     def release(self, server: str | None, call: str, number: str, cause: int) -> None:
         """Release a standing call; None where only a session server can know it."""
 
+    def media(self, server: str, call: str, media: Media) -> None:
+        """Pass on what a caller says in a standing call."""
+
 
 @dataclass(slots=True)
 class Call:
@@ -129,6 +151,7 @@
     stood_ms: float = 0.0
     answered: bool = False  # the final answer was given, or none is owed
     stands: bool = False
+    given_up: Ending | None = None  # the attempt that is out was given up, and its end is still to come
 
 
 class Exchange:
@@ -321,7 +344,7 @@
     def stands(self, name: str, attempt: int, description: bytes) -> bool:
         """The attempt was answered; False where the call does not want it any more."""
         call = self._calls.get(name)
-        if call is None or call.current != attempt or call.answered:
+        if call is None or call.current != attempt or call.answered or call.given_up is not None:
             return False
         now = self._clock.now_ms()
         call.current, call.stands, call.stood_ms = -1, True, now
@@ -338,7 +361,9 @@
         """The attempt ended without an answer."""
         call = self._calls.get(name)
         if call is not None and call.current == attempt:
-            self._settle(call, error.proves(), error)
+            # What was given up ended as that, unless the server itself said otherwise in the meantime.
+            given_up, call.given_up = call.given_up, None
+            self._settle(call, given_up if given_up and error.ending is None else error.proves(), error)
 
     def released(self, server: str, name: str, cause: int) -> None:
         """A session server released a call."""
@@ -353,6 +378,18 @@
             self._remember(name)
             self._callers.release(name, cause, None)
 
+    def said_by_caller(self, name: str, media: Media) -> None:
+        """Pass what a caller says on to the server at which its call stands."""
+        call = self._calls.get(name)
+        if call is not None and call.stands:
+            self._servers.media(call.server, name, media)
+
+    def said_by_server(self, server: str, name: str, media: Media) -> None:
+        """Pass what a server says on to the caller, if the call stands there."""
+        call = self._calls.get(name)
+        if call is not None and call.stands and call.server == server:
+            call.caller.media(name, media)
+
     def forwarded(self) -> None:
         """The last byte of an attempt was written."""
         self._figures.forwarded()
@@ -484,9 +521,12 @@
 
     # --- ends -----------------------------------------------------------------------------------------------
     def _give_up(self, call: Call, ending: Ending) -> None:
-        if call.current < 0:
+        if call.current < 0 or call.given_up is not None:
             return
         progress = self._servers.give_up(call.server, call.offer.call)
+        if progress is None:
+            call.given_up = ending
+            return
         self._settle(call, ending if progress >= Progress.PARTLY_SENT else Ending.NOT_SENT)
 
     def _settle(self, call: Call, ending: Ending, error: AttemptError | None = None) -> None:
--- a/pearloom/net/coordinator.py
+++ b/pearloom/servers/coordinator.py
@@ -15,11 +15,11 @@
 from gevent import socket
 
 from pearloom import interface as api
-from pearloom.net.config import Address, ListUpdate, Server
-from pearloom.net.counters import Counters
-from pearloom.net.errors import Malformed
-from pearloom.net.exchange import Exchange
-from pearloom.net.logs import crashed, note
+from pearloom.core.config import Address, ListUpdate, Server
+from pearloom.core.counters import Counters
+from pearloom.core.errors import Malformed
+from pearloom.core.exchange import Exchange
+from pearloom.core.logs import crashed, note
 
 DIAL_S = 1.0
 SILENT_S = 2.5  # an empty frame comes each second; after this the connection is dead
--- /dev/null
+++ b/pearloom/sip/__init__.py
@@ -0,0 +1,1 @@
+"""Session servers over SIP: the messages and one trunk a server."""
--- a/pearloom/net/sip.py
+++ b/pearloom/sip/codec.py
@@ -6,7 +6,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
-from pearloom.net.errors import Malformed
+from pearloom.core.errors import Malformed
 
 MOST_BYTES = 16 * 1024
 _END = b"\r\n\r\n"
--- a/pearloom/net/session_servers.py
+++ b/pearloom/sip/trunk.py
@@ -1,28 +1,26 @@
-"""The client side: SIP connections to the session servers, and what their silence means."""
+"""One session server over SIP: its connections, and what their silence means."""
 
 from __future__ import annotations
 
 import logging
 import math
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 from dataclasses import replace
 from typing import TypeVar
 
 import gevent
 from gevent import socket
 
+from pearloom.core.config import Server
+from pearloom.core.connection import Connection, Letter
+from pearloom.core.errors import AttemptError, Malformed, Progress
+from pearloom.core.exchange import CAUSE_NORMAL, Media, SetUp
+from pearloom.core.logs import note
 from pearloom.interface import Ending, PoolState
-from pearloom.net import sip
-from pearloom.net.clock import Clock
-from pearloom.net.config import Server
-from pearloom.net.connection import Connection, Letter
-from pearloom.net.counters import Counters
-from pearloom.net.errors import AttemptError, Malformed, Progress
-from pearloom.net.exchange import CAUSE_NORMAL, Exchange, SetUp
-from pearloom.net.logs import crashed, note
+from pearloom.servers.directory import Directory
 from pearloom.settings import read_report
+from pearloom.sip import codec as sip
 
-WATCH_MS = 100.0  # how often connections are looked at
 CUT_SHORT_MS = 300.0  # a message that has begun is whole by then, or never
 MUTE_FROM_MS = 100.0  # a set-up given up later than this, with no word on its connection since, tells of it
 MUTE_MS = 1000.0  # a connection that left a set-up unanswered and says nothing for so long is closed
@@ -132,10 +130,11 @@
 class Trunk:
     """All that concerns one session server, by its id."""
 
-    def __init__(self, side: SessionServers, server: Server) -> None:
+    def __init__(self, side: Directory, server: Server, dial_timeout_ms: float) -> None:
         """Know the server; not connected yet."""
         self._side = side
         self._exchange = side.exchange
+        self._dial_timeout_s = dial_timeout_ms / 1000.0
         self.name = server.entry.server
         self.server = server
         self._links: list[Link] = []
@@ -263,6 +262,10 @@
             mute.connection.close("mute")
         self.dial()
 
+    def media(self, call: str, media: Media) -> None:
+        """Signalling alone goes here: what is said in a call reaches this server as its description says."""
+        self._side.counters.add("media_dropped")
+
     def dial(self) -> None:
         """Open a connection; what waits goes out on it."""
         if not self.dialling:
@@ -274,7 +277,7 @@
         for letter in self._waiting:
             letter.progress = Progress.CONNECTING
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        sock.settimeout(self._side.dial_timeout_s)
+        sock.settimeout(self._dial_timeout_s)
         try:
             sock.connect(self.server.address)
             sock.settimeout(None)
@@ -474,112 +477,7 @@
             self._exchange.attempt_ended(letter.call, letter.set_up.attempt, error)
 
 
-class SessionServers:
-    """All trunks; the exchange's server side."""
-
-    def __init__(self, exchange: Exchange, clock: Clock, counters: Counters, dial_timeout_ms: float) -> None:
-        """Know no server yet."""
-        self.exchange = exchange
-        self.clock = clock
-        self.counters = counters
-        self.dial_timeout_s = dial_timeout_ms / 1000.0
-        self._trunks: dict[str, Trunk] = {}
-
-    def start(self) -> None:
-        """Begin to watch."""
-        self._watch()
-
-    def _watch(self) -> None:
-        try:
-            for trunk in list(self._trunks.values()):
-                trunk.watch()
-                if trunk.idle:
-                    trunk.close()
-                    del self._trunks[trunk.name]
-        except Exception:
-            crashed("watch_failed")
-        self.exchange.after_ms(WATCH_MS, self._watch)
-
-    def address_taken(self, trunk: Trunk) -> bool:
-        """Is a ready server of another id listed at this trunk's address?"""
-        return any(
-            other.ready and other.server.address == trunk.server.address
-            for other in self._trunks.values()
-            if other is not trunk
-        )
-
-    # --- exchange.ServerSide
-    def listed(self, servers: Sequence[Server], whole: bool) -> None:
-        """Take the list over; each server that is new gets its connection at once."""
-        named = {server.entry.server for server in servers}
-        for server in servers:
-            trunk = self._trunks.get(server.entry.server)
-            if trunk is not None:
-                trunk.update(server)
-            elif server.entry.state is not PoolState.GONE:
-                trunk = self._trunks[server.entry.server] = Trunk(self, server)
-                # A server also tells on its next connection what became of calls of before a restart.
-                trunk.dial()
-        for trunk in list(self._trunks.values()) if whole else ():
-            if trunk.name not in named:
-                trunk.update(gone(trunk.server))
-
-    def listing(self) -> list[Server]:
-        """The list as it is now."""
-        servers = [trunk.server for trunk in self._trunks.values()]
-        return [server for server in servers if server.entry.state is not PoolState.GONE]
-
-    @property
-    def settled(self) -> bool:
-        """Has each connection that was asked for come up, or failed?"""
-        return not any(trunk.dialling for trunk in self._trunks.values())
-
-    def dial_all(self) -> None:
-        """Open a further connection to each server where anything stands."""
-        for trunk in self._trunks.values():
-            if self.exchange.standing_at(trunk.name):
-                trunk.dial()
-
-    @property
-    def discovered(self) -> int:
-        """How many are in the list."""
-        return len(self.listing())
-
-    def withdraw_unsent(self) -> None:
-        """End what has not begun to leave for a server that is not ready."""
-        for trunk in list(self._trunks.values()):
-            if not trunk.ready:
-                trunk.withdraw_unsent()
-
-    def set_up(self, server: str, set_up: SetUp) -> None:
-        """Send an attempt."""
-        trunk = self._trunks.get(server)
-        if trunk is None or not trunk.ready:
-            # The last guard before a server that drains or is gone.
-            error = AttemptError(Progress.NOT_DIALLED, "server not ready")
-            self.exchange.attempt_ended(set_up.offer.call, set_up.attempt, error)
-        else:
-            trunk.set_up(set_up)
-
-    def give_up(self, server: str, call: str) -> Progress:
-        """End an attempt."""
-        trunk = self._trunks.get(server)
-        return Progress.NOT_DIALLED if trunk is None else trunk.give_up(call)
-
-    def release(self, server: str | None, call: str, number: str, cause: int) -> None:
-        """Release a call; where nobody knows its server, all are told."""
-        for trunk in list(self._trunks.values()):
-            if server in (None, trunk.name):
-                trunk.release(call, number, cause)
-
-
 def _drop_old(kept: dict[str, T], before_ms: float, when: Callable[[T], float]) -> None:
     """Drop what was kept first, as far as it is older."""
     while kept and when(kept[oldest := next(iter(kept))]) < before_ms:
         del kept[oldest]
-
-
-def gone(server: Server) -> Server:
-    """The same server, gone."""
-    entry = server.entry
-    return Server(type(entry)(entry.server, entry.cell, PoolState.GONE, entry.started_us), server.address)
--- a/tests/player.py
+++ b/tests/player.py
@@ -25,9 +25,9 @@
 from gevent import socket
 
 from pearloom.__main__ import Softswitch
-from pearloom.net.clock import Clock
-from pearloom.net.config import Config, read_config
-from pearloom.net.handover import ask
+from pearloom.admin.handover import ask
+from pearloom.core.clock import Clock
+from pearloom.core.config import Config, read_config
 
 START_MS = 1_800_000_000_000.0
 PATIENCE_S = 5.0  # real time: only a test that fails waits so long
--- a/tests/test_codecs.py
+++ b/tests/test_codecs.py
@@ -10,11 +10,13 @@
 from hypothesis import strategies as st
 
 from pearloom import interface as api
-from pearloom.net import coordinator, isup, sip
-from pearloom.net.clock import Clock
-from pearloom.net.errors import AttemptError, Malformed, Progress
-from pearloom.net.session_servers import refusal
+from pearloom.binary import isup
+from pearloom.core.clock import Clock
+from pearloom.core.errors import AttemptError, Malformed, Progress
+from pearloom.servers import coordinator
 from pearloom.settings import flatten, read_settings
+from pearloom.sip import codec as sip
+from pearloom.sip.trunk import refusal
 from tests.player import SETTINGS, encode, read
 from tests.test_exchanges import RECORDINGS
 
--- a/tests/test_connection.py
+++ b/tests/test_connection.py
@@ -5,8 +5,8 @@
 import gevent
 from gevent import socket
 
-from pearloom.net.connection import MOST_QUEUED, Connection, Letter
-from pearloom.net.errors import Progress
+from pearloom.core.connection import MOST_QUEUED, Connection, Letter
+from pearloom.core.errors import Progress
 
 
 class Pair:
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -4,7 +4,7 @@
 
 import logging
 
-from pearloom.net.logs import LINES_AT_ONCE, KeyValueFormatter, Limit
+from pearloom.core.logs import LINES_AT_ONCE, KeyValueFormatter, Limit
 
 
 def line(event: str, at: float) -> logging.LogRecord:
--- a/tests/test_management.py
+++ b/tests/test_management.py
@@ -6,7 +6,7 @@
 
 import gevent
 
-from pearloom.net.management import MOST_AFTER, READ_BYTES, _Call
+from pearloom.admin.management import MOST_AFTER, READ_BYTES, _Call
 
 
 class Endless:
