--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements that take too long for CI."""
--- /dev/null
+++ b/benchmarks/guards.py
@@ -0,0 +1,130 @@
+"""Removes each guard of IAX2 in a copy of the tree and runs the tests that are to notice: `python -m benchmarks.guards`.
+
+A guard whose removal no test notices is printed as `unnoticed`, and the exit code is 1. Too long for CI.
+"""
+
+from __future__ import annotations
+
+import shutil
+import subprocess
+import sys
+import tempfile
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from pathlib import Path
+
+ROOT = Path(__file__).parent.parent
+AT_ONCE = 4  # copies under test
+LEGS, UNITS, FAILURES = (
+    "tests/iax2/test_legs.py",
+    "tests/iax2/test_decisions.py",
+    "tests/iax2/test_failures.py",
+)
+TRANSPORT, CODEC, MIXED = (
+    "tests/iax2/test_transport.py",
+    "tests/iax2/test_frames.py",
+    "tests/iax2/test_mixed.py",
+)
+PLAYED = "tests/test_exchanges.py"
+
+
+@dataclass(frozen=True, slots=True)
+class Guard:
+    """One guard: what stands in the code, what takes its place, and who is to notice."""
+
+    name: str
+    file: str
+    code: str
+    without: str
+    tests: tuple[str, ...]
+
+
+GUARDS = (
+    Guard("a repeat asks whether its server drains", "doubt.py", "return ready and wanted and", "return wanted and",
+          (UNITS, f"{FAILURES}::test_a_repeated_new_for_a_server_that_drained_is_new_work_and_does_not_leave")),
+    Guard("a NEW is asked for before each repeat", "transport.py", "not sent.may_repeat()", "False", (TRANSPORT, LEGS)),
+    Guard("silence proves nothing", "doubt.py", "End.SILENT: Ending.RESET", "End.SILENT: Ending.UNREACHABLE", (UNITS,)),
+    Guard("no cause proves after work", "doubt.py", "if stage is Stage.ACCEPTED and", "if False and", (UNITS,)),
+    Guard("an attempt given up ends when confirmed", "trunk.py", "        return None\n\n    def _close", "        return Progress.SENT\n\n    def _close",
+          (f"{FAILURES}::test_no_second_attempt_while_lost_hang_ups_leave_the_first_at_work",)),
+    Guard("a late copy of a NEW is no set-up", "listener.py", "elif token in self._spent:", "elif False:",
+          (f"{FAILURES}::test_a_plain_caller_is_served_and_a_late_copy_of_its_new_is_no_second_set_up",)),
+    Guard("a repeated NEW is the same NEW", "listener.py", "leg is not None and leg.token == token", "False",
+          (f"{FAILURES}::test_a_plain_caller_is_served_and_a_late_copy_of_its_new_is_no_second_set_up",)),
+    Guard("a token is bound to its source", "tokens.py", "hmac.compare_digest(digest, _digest(secret, source, number, told))", "True",
+          (UNITS, PLAYED)),
+    Guard("a token ages", "tokens.py", "<= LIVES_MS:", "<= 1e18:", (UNITS,)),
+    Guard("the token's time is taken off the patience", "listener.py", "offer.patience_ms -= ", "offer.patience_ms -= 0 * ",
+          (f"{FAILURES}::test_the_time_that_a_token_took_is_taken_off_the_patience",)),
+    Guard("the secret is checked", "leg.py", "hmac.compare_digest(told, wanted)", "True", (LEGS,)),
+    Guard("legs are limited in all", "admission.py", "self.legs >= self._limits.legs", "False",
+          (UNITS, f"{FAILURES}::test_legs_beyond_the_limit_are_refused_with_a_time_to_come_back")),
+    Guard("half-open legs go in time", "listener.py", "self._admission.overdue(now)", "[]",
+          (f"{FAILURES}::test_legs_that_never_say_who_they_are_go_in_time_and_make_room",)),
+    Guard("proven sources are not among the forged", "admission.py", "if proved is not None and", "if False and", (UNITS,)),
+    Guard("token replies are limited", "admission.py", "if self._tokens < 1:", "if False:", (UNITS,)),
+    Guard("both numbers of a frame have to fit", "trunk.py", "leg.transport.destination not in (0, frame.source)", "False",
+          (f"{FAILURES}::test_an_answer_under_another_leg_s_number_is_not_taken",)),
+    Guard("a hung up leg answers no call", "leg.py", "None if self.closing else MOVES", "MOVES", (LEGS,)),
+    Guard("an end is heard over a gap", "leg.py", "verdict is Verdict.EARLY and iax in", "False and iax in", (LEGS,)),
+    Guard("a gap before a HANGUP is doubt", "leg.py", "        if early:", "        if False:", (LEGS,)),
+    Guard("the order has no hole at the end", "transport.py", "if sent.may_repeat is not None:\n                sent", "if False:\n                sent", (TRANSPORT, LEGS)),
+    Guard("one challenge a leg", "leg.py", "if self._challenged or not", "if not", (LEGS,)),
+    Guard("copies are not taken again", "transport.py", "if ahead >= 128:", "if False:", (TRANSPORT, LEGS)),
+    Guard("old acknowledgements confirm nothing", "transport.py", "if confirmed > len(self._pending):", "if False:", (TRANSPORT,)),
+    Guard("unconfirmed frames are bounded", "transport.py", "len(self._pending) >= MOST_UNCONFIRMED", "False", (TRANSPORT,)),
+    Guard("parts of a description in order", "frames.py", "not block or block[0] != place", "not block", (CODEC,)),
+    Guard("a description's length fits", "frames.py", "len(whole) - 2 != whole[0] << 8 | whole[1]", "False", (CODEC,)),
+    Guard("a subclass is bounded", "frames.py", "> 63:", "> 255:", (CODEC,)),
+    Guard("call numbers rest", "numbers.py", ">= RESTS_MS", ">= 0", (UNITS, f"{FAILURES}::test_call_numbers_that_run_out_are_not_used_again_and_their_calls_go_elsewhere")),
+    Guard("a silent server's calls end", "liveness.py", ">= LOST_MS:", ">= 1e9:",
+          (UNITS, f"{FAILURES}::test_a_server_that_loses_its_calls_has_them_released_within_8_s")),
+    Guard("INVAL brings all legs under question", "liveness.py", "if self._audit_from < 0:", "if False:", (UNITS,)),
+    Guard("a refused datagram ends standing calls", "trunk.py", '        self._lost("refused")\n', "",
+          (f"{FAILURES}::test_a_server_that_loses_its_calls_has_them_released_within_8_s",)),
+    Guard("an answer has a description", "trunk.py", "if description is None and offer.description:", "if False:",
+          (f"{FAILURES}::test_an_answer_without_a_description_is_not_passed_on",)),
+    Guard("depth of the operator's file", "../records/language.py", "if depth > MOST_DEPTH:", "if False:", ("tests/test_records.py",)),
+    Guard("fields that nobody asked for", "../records/check.py", "if key not in self._asked:", "if False:", ("tests/test_records.py",)),
+)  # fmt: skip
+
+
+def noticed(guard: Guard) -> str:
+    """Which of the guard's tests failed without it; empty where none did."""
+    with tempfile.TemporaryDirectory(prefix="pearloom-guard-") as folder:
+        tree = Path(folder) / "tree"
+        shutil.copytree(
+            ROOT, tree, ignore=shutil.ignore_patterns(".*", "journal", "logs", "*.egg-info", "__pycache__")
+        )
+        shutil.copy(ROOT / "README.md", tree)
+        path = (tree / "pearloom" / "iax2" / guard.file).resolve()
+        text = path.read_text()
+        if text.count(guard.code) != 1:
+            return f"stands {text.count(guard.code)} times in {guard.file}: this list is out of date"
+        path.write_text(text.replace(guard.code, guard.without))
+        for test in guard.tests:
+            command = [sys.executable, "-m", "pytest", "-q", "-x", "-p", "no:cacheprovider", test]
+            done = subprocess.run(command, cwd=tree, capture_output=True, text=True, env={
+                "PATH": "/usr/bin:/bin", "PYTHONPATH": str(tree), "PYTHONDONTWRITEBYTECODE": "1",
+            })  # fmt: skip
+            if done.returncode == 1:
+                return next((line for line in done.stdout.splitlines() if line.startswith("FAILED")), test)[
+                    :140
+                ]
+    return ""
+
+
+def main() -> int:
+    """Try all, print a line each."""
+    missed = 0
+    with ThreadPoolExecutor(AT_ONCE) as pool:
+        for guard, found in zip(GUARDS, pool.map(noticed, GUARDS), strict=True):
+            bad = not found or "out of date" in found
+            missed += bad
+            print(f"{'unnoticed' if not found else 'noticed  '} {guard.name}: {found}", flush=True)
+    print(f"{len(GUARDS) - missed} of {len(GUARDS)} guards are noticed when they are gone")
+    return 1 if missed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/pearloom/core/clock.py
+++ b/pearloom/core/clock.py
@@ -18,7 +18,8 @@
 
         Guards against a system clock that is put back: the decision module takes no time before its last."""
         now = time.time() * 1000.0 if self._set is None else self._set
-        self._last = max(self._last, now)
+        if now > self._last:  # asked for many times a call: cheaper than max()
+            self._last = now
         return self._last
 
     def set_ms(self, now_ms: float) -> None:
--- a/pearloom/core/exchange.py
+++ b/pearloom/core/exchange.py
@@ -353,7 +353,7 @@
     def stands(self, name: str, attempt: int, description: bytes) -> bool:
         """The attempt was answered; False where the call does not want it any more."""
         call = self._calls.get(name)
-        if call is None or call.current != attempt or call.answered or call.given_up is not None:
+        if call is None or call.current != attempt or call.answered:
             return False
         now = self._clock.now_ms()
         call.current, call.stands, call.stood_ms = -1, True, now
@@ -534,7 +534,7 @@
             return
         progress = self._servers.give_up(call.server, call.offer.call)
         if progress is None:
-            call.given_up = ending
+            call.given_up = ending  # the module answers the call at its deadline, whatever the server says
             return
         self._settle(call, ending if progress >= Progress.PARTLY_SENT else Ending.NOT_SENT)
 
--- a/pearloom/iax2/frames.py
+++ b/pearloom/iax2/frames.py
@@ -86,7 +86,9 @@
 
 
 # Frames outside the order of a leg: they take no sequence number and are never repeated (7.1).
-UNNUMBERED = frozenset({Iax.ACK, Iax.INVAL, Iax.VNAK, Iax.TXCNT, Iax.TXACC, Iax.CALLTOKEN})
+UNNUMBERED = frozenset(
+    int(one) for one in (Iax.ACK, Iax.INVAL, Iax.VNAK, Iax.TXCNT, Iax.TXACC, Iax.CALLTOKEN)
+)
 
 
 class Element(IntEnum):
@@ -117,7 +119,7 @@
 AUTH_MD5 = 2
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)  # not frozen: those are twice as dear to make
 class Full:
     """A full frame; `subclass` is the value that it stands for, whatever its form on the wire."""
 
@@ -141,7 +143,7 @@
         return self.type == Type.IAX and self.subclass == subclass
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Mini:
     """Voice in the codec of the last full voice frame; the low 16 bits of its time."""
 
@@ -262,11 +264,12 @@
 class Elements:
     """The information elements of one frame, in their order; where one came twice, `get` has the last."""
 
-    __slots__ = ("_pairs",)
+    __slots__ = ("_last", "_pairs")
 
     def __init__(self, pairs: Iterable[tuple[int, bytes]] = ()) -> None:
         """Elements as (code, value)."""
         self._pairs = tuple(pairs)
+        self._last: dict[int, bytes] | None = None
 
     def __iter__(self) -> Iterator[tuple[int, bytes]]:
         """(code, value), in order."""
@@ -274,11 +277,9 @@
 
     def get(self, code: Element) -> bytes | None:
         """The value of an element, or None."""
-        found = None
-        for key, value in self._pairs:
-            if key == code:
-                found = value
-        return found
+        if self._last is None:
+            self._last = dict(self._pairs)
+        return self._last.get(code)
 
     def text(self, code: Element) -> str | None:
         """A text element, or None where it is absent or not ASCII."""
@@ -294,21 +295,23 @@
         """The elements' bytes."""
         out = bytearray()
         for code, value in self._pairs:
-            if len(value) > MOST_VALUE:
-                raise ValueError(f"element {code} has {len(value)} octets")
-            out += bytes((code, len(value))) + value
+            # Its own guard too: a code or a value of more than 255 raises a ValueError here.
+            out.append(code)
+            out.append(len(value))
+            out += value
         return bytes(out)
 
 
 def decode_elements(data: bytes) -> Elements | Malformed:
     """The elements in a frame's data."""
     pairs: list[tuple[int, bytes]] = []
-    at = 0
-    while at < len(data):
-        if len(data) - at < 2 or len(data) - at - 2 < data[at + 1]:
+    at, size = 0, len(data)
+    while at < size:
+        start = at + 2
+        end = start + data[at + 1] if start <= size else size + 1
+        if end > size:
             return Malformed(f"element {data[at]} is cut short", fatal=False)
-        end = at + 2 + data[at + 1]
-        pairs.append((data[at], data[at + 2 : end]))
+        pairs.append((data[at], data[start:end]))
         at = end
     return Elements(pairs)
 
--- a/pearloom/iax2/leg.py
+++ b/pearloom/iax2/leg.py
@@ -19,6 +19,7 @@
 from pearloom.iax2.doubt import CAUSE_NORMAL, CAUSE_TEMPORARY_FAILURE, NEVER_RAN, End, Stage, may_send
 from pearloom.iax2.frames import (
     AUTH_MD5,
+    UNNUMBERED,
     Control,
     Element,
     Elements,
@@ -32,6 +33,7 @@
 )
 from pearloom.iax2.transport import Transport, Verdict
 
+_IAX, _ACK = int(Type.IAX), int(Iax.ACK)
 LINGER_MS = 4000.0  # at most for the acknowledgement of a HANGUP
 MINI_SPAN = 1 << 16  # ms that a mini frame's time tells apart
 
@@ -148,6 +150,7 @@
 
     def __init__(self, source: int, now_ms: float, destination: int = 0) -> None:
         """A leg under this side's call number `source`."""
+        self.source = source  # this side's call number
         self.transport = Transport(source, now_ms, destination)
         self.over = False
         self.closing_since = math.inf  # this side's HANGUP or REJECT has left
@@ -155,11 +158,6 @@
         self._speech = _Speech()
         self.heard_ms = now_ms
 
-    @property
-    def source(self) -> int:
-        """This side's call number."""
-        return self.transport.source
-
     @property
     def closing(self) -> bool:
         """Does only the acknowledgement of the last frame remain?"""
@@ -167,8 +165,7 @@
 
     def take(self) -> list[bytes]:
         """The datagrams to be sent, in order."""
-        out, self.transport.out = self.transport.out, []
-        return out
+        return self.transport.take()
 
     def due_ms(self) -> float:
         """When `tick` has something to do."""
@@ -246,7 +243,10 @@
 
     def _full(self, frame: Full, now_ms: float) -> None:
         verdict = self.transport.heard(frame, now_ms)
-        if frame.is_iax(Iax.INVAL):
+        iax = frame.subclass if frame.type == _IAX else 0
+        if iax == _ACK and self.transport.destination:
+            return  # nearly half of all frames: its number is all that it says
+        if iax == Iax.INVAL:
             if self.closing:
                 self._end()
             else:
@@ -254,16 +254,16 @@
             return
         if verdict is not Verdict.TAKE:
             # Guards against an end that waits for ever for a frame before it: nothing after it matters.
-            if verdict is Verdict.EARLY and (frame.is_iax(Iax.HANGUP) or frame.is_iax(Iax.REJECT)):
+            if verdict is Verdict.EARLY and iax in (Iax.HANGUP, Iax.REJECT):
                 self._peer_ended(frame, early=True)
             return
-        if self.transport.destination == 0 and not frame.is_iax(Iax.CALLTOKEN):
+        if self.transport.destination == 0 and iax != Iax.CALLTOKEN:
             self.transport.destination = frame.source
-        if not frame.numbered:
+        if iax in UNNUMBERED:
             self._unnumbered(frame, now_ms)
             return
-        answered_before = len(self.transport.out)
-        if frame.type == Type.IAX:
+        self.transport.acknowledge(frame.stamp)
+        if iax:
             self._iax(frame, now_ms)
         elif frame.type == Type.CONTROL:
             self._control(frame, now_ms)
@@ -271,8 +271,6 @@
             self._events.append(Heard(self._speech.full_in(frame)))
         elif frame.type == Type.DTMF and not self.closing and frame.subclass < 128:
             self._events.append(Heard(Media(Said.DIGIT, 0, frame.stamp, bytes((frame.subclass,)))))
-        if len(self.transport.out) == answered_before:
-            self.transport.reply(Iax.ACK, frame.stamp)
 
     def _iax(self, frame: Full, now_ms: float) -> None:
         match frame.subclass:
@@ -298,7 +296,7 @@
         if isinstance(elements, Malformed):
             elements = Elements()
         cause = elements.number(Element.CAUSECODE, 1)
-        self.transport.reply(Iax.ACK, frame.stamp)
+        self.transport.acknowledge(frame.stamp)
         if not self.closing:
             self._hung_up(CAUSE_TEMPORARY_FAILURE if cause is None else cause, elements, early)
         self._end()
@@ -361,6 +359,9 @@
 }
 
 
+_UNHEARD = tuple(stage for stage, signal in MOVES if signal is Signal.ACK)
+
+
 class OutLeg(Leg):
     """A leg on which this side places a call."""
 
@@ -370,7 +371,7 @@
         """`wanted`: may new work still go to this peer? Asked before any frame that starts some."""
         super().__init__(source, now_ms)
         self.stage = Stage.NOTHING_LEFT
-        self._elements = elements
+        self._elements = elements.encode()  # sent twice where the peer asks for a token
         self._secret = secret
         self._wanted = wanted
         self._challenged = False
@@ -380,16 +381,16 @@
         self._new(b"", Stage.SENT, now_ms)
 
     def _new(self, token: bytes, stage: Stage, now_ms: float) -> None:
-        elements = Elements([*self._elements, (Element.CALLTOKEN, token)])
-        self._begin(Iax.NEW, elements, stage, now_ms)
+        data = self._elements + Elements([(Element.CALLTOKEN, token)]).encode()
+        self._begin(Iax.NEW, data, stage, now_ms)
 
-    def _begin(self, kind: Iax, elements: Elements, stage: Stage, now_ms: float) -> None:
+    def _begin(self, kind: Iax, data: bytes, stage: Stage, now_ms: float) -> None:
         """Send a frame that starts work, unless its server's drain or the call's end stops it."""
         if not self._may_send():
             self._fail(End.WITHDRAWN, now_ms, "not wanted any more")
             return
         self.stage = stage
-        self.transport.send(Type.IAX, kind, elements.encode(), now_ms, self._may_send)
+        self.transport.send(Type.IAX, kind, data, now_ms, self._may_send)
 
     def _may_send(self) -> bool:
         return may_send(self.stage, self._wanted(), not self.closing)
@@ -400,15 +401,16 @@
         return self.stage in NEVER_RAN
 
     def _move(self, signal: Signal) -> bool:
-        if self.closing or (self.stage, signal) not in MOVES:
+        done = None if self.closing else MOVES.get((self.stage, signal))
+        if done is None:
             return False
-        self.stage = MOVES[self.stage, signal]
+        self.stage = done
         return True
 
     def _full(self, frame: Full, now_ms: float) -> None:
         before = self.transport.unconfirmed
         super()._full(frame, now_ms)
-        if self.transport.unconfirmed < before and not frame.is_iax(Iax.CALLTOKEN):
+        if self.transport.unconfirmed < before and self.stage in _UNHEARD and not frame.is_iax(Iax.CALLTOKEN):
             self._move(Signal.ACK)
 
     def _unnumbered(self, frame: Full, now_ms: float) -> None:
@@ -441,8 +443,8 @@
         if not challenge or not methods & AUTH_MD5 or not self._secret:
             self._fail(End.SPOILT, now_ms, "a challenge that can't be answered")
             return
-        result = md5_result(challenge, self._secret).encode()
-        self._begin(Iax.AUTHREP, Elements([(Element.MD5_RESULT, result)]), Stage.AUTH_SENT, now_ms)
+        result = Elements([(Element.MD5_RESULT, md5_result(challenge, self._secret).encode())])
+        self._begin(Iax.AUTHREP, result.encode(), Stage.AUTH_SENT, now_ms)
 
     def _control(self, frame: Full, now_ms: float) -> None:
         match frame.subclass:
@@ -520,7 +522,7 @@
         """Acknowledge the NEW: offer the set-up, or ask for the answer to a challenge."""
         self.transport.heard(self._new, now_ms)
         if not self._secret:
-            self.transport.reply(Iax.ACK, self._new.stamp)
+            self.transport.acknowledge(self._new.stamp)
             return self._offer()
         wants = Elements(
             [
--- a/pearloom/iax2/legs.py
+++ b/pearloom/iax2/legs.py
@@ -31,6 +31,7 @@
         self._send, self._on_event = send, on_event
         self._numbers = CallNumbers(first, NO_LEG - 1)
         self._legs: dict[int, L] = {}
+        self._touched: dict[int, L] = {}  # legs with frames taken since the last flush
         self._timers: dict[int, float] = {}  # by call number: when its timer comes
 
     def __len__(self) -> int:
@@ -59,26 +60,39 @@
             self._timers.pop(leg.source, None)
             self._numbers.give_back(leg.source, self._now_ms())
 
+    def took(self, leg: L, events: list[Event]) -> None:
+        """Tell what happened at a frame; what is to be sent for it goes with `flush_all`."""
+        self._touched[leg.source] = leg
+        for event in events:
+            self._on_event(leg, event)
+
+    def flush_all(self) -> None:
+        """All that had come has been taken: send what it brought about, one acknowledgement for several."""
+        while self._touched:
+            self.flush(self._touched.popitem()[1], [])
+
     def flush(self, leg: L, events: list[Event]) -> None:
-        """Send what the leg has to send, tell what happened, and look at it again in time."""
-        for data in leg.take():
-            self._send(leg, data)
+        """Tell what happened, send what the leg has to send, and look at it again in time."""
         for event in events:
             self._on_event(leg, event)
-        for data in leg.take():  # what the events brought about
+        for data in leg.take():
             self._send(leg, data)
         self._arm(leg)
 
     def _arm(self, leg: L) -> None:
         due = leg.due_ms()
-        if due < self._timers.get(leg.source, math.inf) and leg.source in self._legs:
+        if due < self._timers.get(leg.source, math.inf) and self._legs.get(leg.source) is leg:
             self._timers[leg.source] = due
             self._exchange.after_ms(due - self._now_ms(), lambda: self._look(leg, due))
 
     def _look(self, leg: L, due: float) -> None:
         if self._timers.get(leg.source) == due and self._legs.get(leg.source) is leg:
             del self._timers[leg.source]
-            self.flush(leg, leg.tick(self._now_ms()))
+            now = self._now_ms()
+            if leg.due_ms() <= now:
+                self.flush(leg, leg.tick(now))
+            else:
+                self._arm(leg)  # what was due has been confirmed since
 
 
 def answer_without_leg(frame: Full, kind: Iax, elements: bytes = b"") -> bytes:
--- a/pearloom/iax2/listener.py
+++ b/pearloom/iax2/listener.py
@@ -78,7 +78,7 @@
         self._takes_work, self._refuses = takes_work, refuses
         self._key = secrets.token_bytes(32)
         self._admission = Admission(settings.limits, clock.now_ms())
-        self._port = UdpPort(self._datagram)
+        self._port = UdpPort(self._datagram, lambda: self._legs.flush_all())
         self._legs: Legs[CallerLeg] = Legs(
             exchange,
             clock.now_ms,
@@ -128,8 +128,9 @@
         note(logging.WARNING, "caller_malformed", reason=reason, call="", closed=False)
 
     def _feed(self, leg: CallerLeg, frame: Full | Mini) -> None:
-        self._liveness.heard(leg.source, self._now_ms())
-        self._legs.flush(leg, leg.feed(frame, self._now_ms()))
+        now = self._now_ms()
+        self._liveness.heard(leg.source, now)
+        self._legs.took(leg, leg.feed(frame, now))
 
     def _leg_of(self, frame: Full, source: Address) -> CallerLeg | None:
         """Guards against frames that speak for another's leg: address and both numbers have to fit."""
@@ -205,7 +206,7 @@
         self._legs.add(leg)
         self._by_peer[leg.peer] = leg
         self._counters.add("iax2_legs")
-        self._legs.flush(leg, leg.start(now))
+        self._legs.took(leg, leg.start(now))
 
     def _forgotten(self, leg: CallerLeg) -> None:
         """The caller uses this leg's number for a new call: it has started anew and knows no old one."""
--- a/pearloom/iax2/numbers.py
+++ b/pearloom/iax2/numbers.py
@@ -17,7 +17,7 @@
 
     def __init__(self, first: int = 1, count: int = CALL_NUMBERS - 1) -> None:
         """All are free; `first` is the one that is given out first."""
-        self._next = first
+        self._next = (first - 1) % count + 1
         self._count = count
         self._fresh = count
         self._resting: deque[tuple[int, float]] = deque()
--- a/pearloom/iax2/tokens.py
+++ b/pearloom/iax2/tokens.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import hmac
-from hashlib import sha256
+from hashlib import blake2b
 
 LIVES_MS = 10_000.0  # between the CALLTOKEN and the NEW that brings it back
 _TIME_OCTETS = 6
@@ -40,4 +40,4 @@
 
 def _digest(secret: bytes, source: tuple[str, int], number: int, told: bytes) -> bytes:
     bound = f"{source[0]} {source[1]} {number} ".encode() + told
-    return hmac.digest(secret, bound, sha256)[:_DIGEST_OCTETS]
+    return blake2b(bound, key=secret, digest_size=_DIGEST_OCTETS).digest()
--- a/pearloom/iax2/transport.py
+++ b/pearloom/iax2/transport.py
@@ -13,13 +13,15 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from pearloom.iax2.frames import Full, Iax, Type, encode_full, mark_repeated
+from pearloom.iax2.frames import UNNUMBERED, Full, Iax, Type, encode_full, mark_repeated
 
+_IAX = int(Type.IAX)
 FIRST_RTT_MS = 60.0  # taken until the first sample: two regions and some work
 LEAST_RETRY_MS = 50.0
 MOST_RETRY_MS = 1000.0
 STEADY_TRIES = 4  # of a leg's last frame, before its gaps double too: a release is owed within a second
 MOST_TRIES = 6  # of one frame: 0, 0.12, 0.36, 0.84, 1.8 and 2.8 s after the start, given up 1 s after that
+MOST_LAST_TRIES = 10  # of a leg's last frame: a peer that was cut off for seconds still hears of its end
 MOST_UNCONFIRMED = 64  # frames: half of what octets can tell apart, and a bound on what one leg holds
 RTT_GAIN = 0.125
 
@@ -61,6 +63,7 @@
         self._rtt_ms = FIRST_RTT_MS
         self._stamp = -1
         self._vnak_of = -1  # the missing frame that has been asked for
+        self._ack_of = -1  # the time of the frame to be acknowledged, unless a numbered one goes out first
 
     # --- sending -----------------------------------------------------------------------------------------
     def stamp(self, now_ms: float) -> int:
@@ -90,9 +93,22 @@
         wait = min(max(2 * self._rtt_ms, LEAST_RETRY_MS), MOST_RETRY_MS)
         self._pending.append(_Sent(self._oseq, whole, now_ms, now_ms + wait, wait, 1, may_repeat, steady))
         self._oseq = (self._oseq + 1) & 0xFF
+        self._ack_of = -1
         self.out.append(whole)
         return True
 
+    def take(self) -> list[bytes]:
+        """The datagrams to be sent, in order; one acknowledgement stands for all that came since the last."""
+        if self._ack_of >= 0:
+            self.reply(Iax.ACK, self._ack_of)
+            self._ack_of = -1
+        out, self.out = self.out, []
+        return out
+
+    def acknowledge(self, stamp: int) -> None:
+        """Confirm what has come so far, with the next numbered frame or by an ACK."""
+        self._ack_of = stamp
+
     def reply(self, kind: Iax, stamp: int) -> None:
         """Send a frame outside the order: ACK and INVAL take the time of what they answer."""
         self.out.append(
@@ -133,8 +149,8 @@
     def heard(self, frame: Full, now_ms: float) -> Verdict:
         """Take a full frame's numbers; `frame.iseq` confirms what the peer has."""
         self._confirm(frame, now_ms)
-        if not frame.numbered:
-            if frame.is_iax(Iax.VNAK):
+        if frame.type == _IAX and frame.subclass in UNNUMBERED:
+            if frame.subclass == Iax.VNAK:
                 self._repeat_from(frame.iseq, now_ms)
             return Verdict.TAKE
         ahead = (frame.oseq - self._iseq) & 0xFF
@@ -144,7 +160,7 @@
             return Verdict.TAKE
         if ahead >= 128:
             # Guards against a lost ACK: the peer repeats until it has one.
-            self.reply(Iax.ACK, frame.stamp)
+            self.acknowledge(frame.stamp)
             return Verdict.AGAIN
         if self._vnak_of != self._iseq:
             self._vnak_of = self._iseq  # asked for once; the peer's own repeats do the rest
@@ -183,13 +199,17 @@
     # --- time --------------------------------------------------------------------------------------------
     def due_ms(self) -> float:
         """When `tick` has something to do; infinite where nothing waits."""
-        return min((sent.due_ms for sent in self._pending), default=math.inf)
+        due = math.inf
+        for sent in self._pending:
+            if sent.due_ms < due:
+                due = sent.due_ms
+        return due
 
     def tick(self, now_ms: float) -> None:
         """Repeat what is due; sets `lost` or `stopped` where that has come to its end."""
         for sent in self._pending:
             if sent.due_ms <= now_ms:
-                if sent.tries >= MOST_TRIES:
+                if sent.tries >= (MOST_LAST_TRIES if sent.steady else MOST_TRIES):
                     self.lost = True
                     return
                 self._repeat(sent, now_ms)
--- a/pearloom/iax2/trunk.py
+++ b/pearloom/iax2/trunk.py
@@ -87,7 +87,7 @@
     def dial(self) -> None:
         """Open the socket; nothing is sent before there is a call."""
         if self._port is None:
-            port = UdpPort(lambda data, source: self._datagram(data), self._refused)
+            port = UdpPort(lambda data, source: self._datagram(data), self._legs.flush_all, self._refused)
             port.connect(self.server.address)
             self._port = port
 
@@ -102,12 +102,13 @@
         try:
             self.dial()
         except OSError as trouble:
-            self._attempt_ended(set_up, AttemptError(Progress.NOT_DIALLED, str(trouble)))
+            self._attempt_ended(set_up, AttemptError(Progress.CONNECTING, str(trouble)))
             return
         if number is None:
-            # Guards against a number whose old leg may still be talking.
+            # Guards against a number whose old leg may still be talking; unreachable, so that others are
+            # tried.
             note(logging.WARNING, "iax2_numbers_out", server=self.name)
-            self._attempt_ended(set_up, AttemptError(Progress.NOT_DIALLED, "no call number"))
+            self._attempt_ended(set_up, AttemptError(Progress.CONNECTING, "no call number"))
             return
         placed = _Placed(set_up)
         elements = Elements(offer_elements(set_up, "pearloom" if self._secret else ""))
@@ -229,11 +230,12 @@
             self._side.counters.add("malformed_from_servers")
             note(logging.WARNING, "server_malformed", server=self.name, reason=frames.reason, closed=False)
             return
+        now = self.now_ms
         for frame in frames:
             leg = self._leg_of(frame)
             if leg is not None:
-                self._liveness.heard(leg.source, self.now_ms)
-                self._legs.flush(leg, leg.feed(frame, self.now_ms))
+                self._liveness.heard(leg.source, now)
+                self._legs.took(leg, leg.feed(frame, now))
             elif isinstance(frame, Full) and not frame.is_iax(Iax.INVAL):
                 # Guards against a leg that the server keeps and nobody here knows: it lets go of it.
                 self._side.counters.add("unknown_from_servers")
--- a/pearloom/iax2/udp.py
+++ b/pearloom/iax2/udp.py
@@ -4,11 +4,10 @@
 
 import errno
 import logging
-import socket as plain_socket
+import socket
 from collections.abc import Callable
 
 import gevent
-from gevent import socket
 
 from pearloom.core.config import Address
 from pearloom.core.logs import crashed, note
@@ -23,10 +22,13 @@
     """Owns a bound or connected socket until it is closed; exceptions stop here."""
 
     def __init__(
-        self, on_datagram: Callable[[bytes, Address], None], on_refused: Callable[[], None] = lambda: None
+        self,
+        on_datagram: Callable[[bytes, Address], None],
+        on_idle: Callable[[], None],
+        on_refused: Callable[[], None] = lambda: None,
     ) -> None:
-        """`on_refused`: the peer's machine says that nobody listens at its port."""
-        self._on_datagram, self._on_refused = on_datagram, on_refused
+        """`on_idle`: all that has come was taken. `on_refused`: the peer's machine says nobody listens."""
+        self._on_datagram, self._on_idle, self._on_refused = on_datagram, on_idle, on_refused
         self._sock: socket.socket | None = None
         self._reader: gevent.Greenlet[..., None] | None = None
         self._peer: Address | None = None
@@ -44,7 +46,8 @@
 
     def _open(self) -> socket.socket:
         self._sock = sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        sock.setsockopt(plain_socket.SOL_SOCKET, plain_socket.SO_RCVBUF, RECEIVE_BYTES)
+        sock.setblocking(False)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BYTES)
         return sock
 
     def _start(self) -> Address:
@@ -59,9 +62,9 @@
             return
         try:
             if address is None:
-                self._sock.send(data, plain_socket.MSG_DONTWAIT)
+                self._sock.send(data)
             else:
-                self._sock.sendto(data, plain_socket.MSG_DONTWAIT, address)
+                self._sock.sendto(data, address)
         except ConnectionRefusedError:
             # The system tells of an earlier datagram; this one has not left.
             gevent.spawn(self._on_refused)
@@ -70,23 +73,39 @@
                 note(logging.WARNING, "iax2_send_failed", errno=trouble.errno)
 
     def _read(self, sock: socket.socket) -> None:
+        hub = gevent.get_hub()
+        readable = hub.loop.io(sock.fileno(), 1)
         taken = 0
-        while self._sock is sock:
-            try:
-                data, source = sock.recvfrom(DATAGRAM)
-                self._on_datagram(data, source)
-            except ConnectionRefusedError:
-                self._on_refused()
-            except OSError as trouble:
-                if self._sock is sock:
+        try:
+            while self._sock is sock:
+                try:
+                    self._on_datagram(*sock.recvfrom(DATAGRAM))
+                except BlockingIOError:
+                    self._guarded(self._on_idle)
+                    hub.wait(readable)
+                    taken = 0
+                except ConnectionRefusedError:
+                    self._guarded(self._on_refused)
+                except OSError as trouble:
                     note(logging.WARNING, "iax2_receive_failed", errno=trouble.errno)
                     gevent.sleep(0.01)
-            except Exception:
-                crashed("iax2_failed")
-            taken += 1
-            if taken % A_TURN == 0:
-                # Guards against a flood that keeps all others from their turn.
-                gevent.sleep(0)
+                except Exception:
+                    crashed("iax2_failed")
+                taken += 1
+                if taken >= A_TURN:
+                    # Guards against a flood that keeps all others from their turn.
+                    taken = 0
+                    self._guarded(self._on_idle)
+                    gevent.sleep(0)
+        finally:
+            readable.close()
+
+    @staticmethod
+    def _guarded(deed: Callable[[], None]) -> None:
+        try:
+            deed()
+        except Exception:
+            crashed("iax2_failed")
 
     def close(self) -> None:
         """Read and send nothing more."""
@@ -95,4 +114,5 @@
             self._reader.kill(block=False)
             self._reader = None
         if sock is not None:
-            sock.close()
+            # Guards against a reader that still waits for it: that one hears first of its end.
+            gevent.get_hub().loop.run_callback(sock.close)
--- a/pearloom/standins/iax2_server.py
+++ b/pearloom/standins/iax2_server.py
@@ -68,6 +68,7 @@
         self._spent: dict[tuple[bytes, int], float] = {}
         self._next = 1 + self._random.randrange(30_000)
         self.silent = False  # takes nothing and says nothing, while its socket stays
+        self.nameless = False  # answers tell nothing of where the call is
         self.spoken = 0  # pieces of voice that came
         self.deaf_to: set[Iax] = set()  # frames that are lost on their way here, whatever the faults
         self._sock = self._bind(("127.0.0.1", 0))
@@ -202,8 +203,8 @@
                 self.manner.description_bytes, b"."
             )
             elements = answer_elements(made)
-            if leg.act.deed is Deed.SPOIL:
-                elements = elements[1:] or [(Element.DESCRIPTION, b"\x07x")]
+            if leg.act.deed is Deed.SPOIL or self.nameless:
+                elements = [] if self.nameless else elements[1:] or [(Element.DESCRIPTION, b"\x07x")]
                 self._journal.add(What.TURNED, self.server, leg.call)
             else:
                 leg.stands = True
--- a/pearloom/standins/stage.py
+++ b/pearloom/standins/stage.py
@@ -62,9 +62,11 @@
         faults: Faults | None = None,
         secret: str = "",
         limits: Mapping[str, float] | None = None,
-        quiet: bool = True,
+        numbers: int = 0,
     ) -> None:
-        """Servers by their manners, those that speak SIP first; `faults` on every IAX2 path."""
+        """Servers by their manners, those that speak SIP first; `faults` on every IAX2 path.
+
+        `numbers`: how many call numbers each of the softswitch's sockets has, where not all."""
         self.random, self.journal, self.seed = Random(seed), Journal(), seed
         self._faults, self._secret, self._limits = faults, secret, dict(limits or {})
         self.sip = [SipServer(self.journal, f"s-0000000{1 + n}", one, seed + n) for n, one in enumerate(sip)]
@@ -80,7 +82,7 @@
         self.iax2_at: Address = ("127.0.0.1", free_port(socket.SOCK_DGRAM))
         self.management: Address = ("127.0.0.1", free_port())
         self._folder = tempfile.TemporaryDirectory(prefix="pearloom-stage-")
-        self._quiet = quiet
+        self._numbers = numbers
         self.process: subprocess.Popen[bytes] | None = None
         self.callers: list[BinaryCaller | Iax2Caller] = []
         self._calls = 0
@@ -111,9 +113,13 @@
         }
         (folder / "config.json").write_text(json.dumps(told))
         (folder / "pearloom.cue").write_text(self.records())
+        program = ["-m", "pearloom"]
+        if self._numbers:
+            few = f"import sys, pearloom.iax2.legs as legs; legs.NO_LEG = {self._numbers + 1}"
+            program = ["-c", f"{few}; import pearloom.__main__ as main; sys.exit(main.main())"]
         self._log = (folder / "log").open("wb")
         self.process = subprocess.Popen(
-            [sys.executable, "-m", "pearloom"],
+            [sys.executable, *program],
             env={**os.environ, "BALANCER_CONFIG": str(folder / "config.json"), "TMPDIR": self._folder.name,
                  "PEARLOOM_FILE": str(folder / "pearloom.cue")},
             stderr=self._log,
--- a/tests/iax2/test_legs.py
+++ b/tests/iax2/test_legs.py
@@ -220,6 +220,25 @@
     assert kinds(pair.inside.feed(last, 12.0)) == [HungUp, Over]
 
 
+def test_a_hang_up_that_overtakes_what_may_be_an_answer_is_doubt() -> None:
+    pair = Pair()
+    pair.carry()
+    inside = pair.answer()
+    inside.hang_up(16, 1.0)
+    last = [one for one in parts(inside) if isinstance(one, Full)][-1]
+    assert pair.out.feed(last, 2.0) == [Failed(Stage.HEARD, End.CUT), Over()]
+
+
+def test_a_second_challenge_proves_nothing() -> None:
+    pair = Pair("s3cret")
+    pair.carry()
+    assert pair.out.stage is Stage.HEARD and pair.inside is not None
+    again = Elements([(Element.CHALLENGE, b"x"), (Element.AUTHMETHODS, b"\x00\x02")])
+    pair.inside.transport.send(Type.IAX, Iax.AUTHREQ, again.encode(), 5.0)
+    pair.carry()
+    assert not pair.out.never_ran, "it may be at work since the first answer"
+
+
 def test_inval_ends_a_standing_leg_and_puts_a_set_up_in_doubt() -> None:
     inval = Full(9, 5, 0, 0, 0, Type.IAX, Iax.INVAL)
     pair = Pair()
