--- a/benchmarks/guards.py
+++ b/benchmarks/guards.py
@@ -89,6 +89,14 @@
 )  # fmt: skip
 
 
+def passes(tree: Path, test: str) -> tuple[bool, str]:
+    """Does a test pass in this tree? And what it printed."""
+    command = [sys.executable, "-m", "pytest", "-q", "-x", "-p", "no:cacheprovider", test]
+    environment = {"PATH": "/usr/bin:/bin", "PYTHONPATH": str(tree), "PYTHONDONTWRITEBYTECODE": "1"}
+    done = subprocess.run(command, cwd=tree, capture_output=True, text=True, env=environment)
+    return done.returncode == 0, done.stdout
+
+
 def noticed(guard: Guard) -> str:
     """Which of the guard's tests failed without it; empty where none did."""
     with tempfile.TemporaryDirectory(prefix="pearloom-guard-") as folder:
@@ -103,20 +111,20 @@
             return f"stands {text.count(guard.code)} times in {guard.file}: this list is out of date"
         path.write_text(text.replace(guard.code, guard.without))
         for test in guard.tests:
-            command = [sys.executable, "-m", "pytest", "-q", "-x", "-p", "no:cacheprovider", test]
-            done = subprocess.run(command, cwd=tree, capture_output=True, text=True, env={
-                "PATH": "/usr/bin:/bin", "PYTHONPATH": str(tree), "PYTHONDONTWRITEBYTECODE": "1",
-            })  # fmt: skip
-            if done.returncode == 1:
-                return next((line for line in done.stdout.splitlines() if line.startswith("FAILED")), test)[
-                    :140
-                ]
+            passed, told = passes(tree, test)
+            if not passed:
+                return next((line for line in told.splitlines() if line.startswith("FAILED")), test)[:140]
     return ""
 
 
 def main() -> int:
     """Try all, print a line each."""
     missed = 0
+    for test in sorted({test for guard in GUARDS for test in guard.tests}):
+        # Guards against taking a test that fails anyway for one that notices.
+        if not passes(ROOT, test)[0]:
+            print(f"{test} fails with all guards in place")
+            return 1
     with ThreadPoolExecutor(AT_ONCE) as pool:
         for guard, found in zip(GUARDS, pool.map(noticed, GUARDS), strict=True):
             bad = not found or "out of date" in found
--- a/tests/iax2/test_legs.py
+++ b/tests/iax2/test_legs.py
@@ -234,9 +234,10 @@
     pair.carry()
     assert pair.out.stage is Stage.HEARD and pair.inside is not None
     again = Elements([(Element.CHALLENGE, b"x"), (Element.AUTHMETHODS, b"\x00\x02")])
+    pair.wanted = False  # its server drains, so that no second answer may leave
     pair.inside.transport.send(Type.IAX, Iax.AUTHREQ, again.encode(), 5.0)
     pair.carry()
-    assert not pair.out.never_ran, "it may be at work since the first answer"
+    assert pair.told == [], "it may be at work since the first answer"
 
 
 def test_inval_ends_a_standing_leg_and_puts_a_set_up_in_doubt() -> None:
