Ask legs by one piece of code, and drop what IAX2 never used

Read again, the change had the loop that sends PINGs twice, the rule for unnumbered frames twice, a time on each leg that nobody read, and two causes and two methods without a caller. A call number was taken before the socket was opened, and stayed taken where that failed; the socket comes first now.

--- a/pearloom/iax2/doubt.py
+++ b/pearloom/iax2/doubt.py
@@ -70,9 +70,7 @@
 
 
 # Q.931 causes in REJECT and HANGUP. Only what says that the call was turned away before any work proves it.
-CAUSE_NO_ROUTE = 3
 CAUSE_NORMAL = 16
-CAUSE_BUSY = 17
 CAUSE_OUT_OF_ORDER = 27
 CAUSE_NO_CIRCUIT = 34
 CAUSE_NETWORK_OUT_OF_ORDER = 38
--- a/pearloom/iax2/leg.py
+++ b/pearloom/iax2/leg.py
@@ -156,7 +156,6 @@
         self.closing_since = math.inf  # this side's HANGUP or REJECT has left
         self._events: list[Event] = []
         self._speech = _Speech()
-        self.heard_ms = now_ms
 
     @property
     def closing(self) -> bool:
@@ -205,7 +204,6 @@
         """Take a frame that belongs to this leg."""
         if self.over:
             return []
-        self.heard_ms = now_ms
         if isinstance(frame, Mini):
             media = None if self.closing else self._speech.mini_in(frame)
             if media is not None:
--- a/pearloom/iax2/legs.py
+++ b/pearloom/iax2/legs.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Generic, TypeVar
 
 from pearloom.core.exchange import Exchange
@@ -60,6 +60,14 @@
             self._timers.pop(leg.source, None)
             self._numbers.give_back(leg.source, self._now_ms())
 
+    def ask(self, numbers: Iterable[int]) -> int:
+        """Send a PING on each of these legs that is still there; returns on how many."""
+        asked = [leg for number in numbers if (leg := self._legs.get(number)) is not None]
+        for leg in asked:
+            leg.ping(self._now_ms())
+            self.flush(leg, [])
+        return len(asked)
+
     def took(self, leg: L, events: list[Event]) -> None:
         """Tell what happened at a frame; what is to be sent for it goes with `flush_all`."""
         self._touched[leg.source] = leg
--- a/pearloom/iax2/listener.py
+++ b/pearloom/iax2/listener.py
@@ -96,11 +96,6 @@
         self._watch()
         return where
 
-    @property
-    def legs(self) -> int:
-        """How many are held."""
-        return len(self._legs)
-
     def _now_ms(self) -> float:
         return self._clock.now_ms()
 
@@ -312,12 +307,7 @@
                 # Guards against legs that are opened and never say who they are.
                 self._counters.add("iax2_half_open_dropped")
                 self._drop(leg)
-        for number in self._liveness.look(now).ask:
-            leg = self._legs.get(number)
-            if leg is not None:
-                self._counters.add("pings_out")
-                leg.ping(now)
-                self._legs.flush(leg, [])
+        self._counters.add("pings_out", self._legs.ask(self._liveness.look(now).ask))
         self._exchange.after_ms(WATCH_MS, self._watch)
 
     def finish(self) -> None:
@@ -327,10 +317,6 @@
                 self._left(leg, CAUSE_TEMPORARY_FAILURE)
                 self.release(leg, CAUSE_NETWORK_OUT_OF_ORDER)
 
-    def close(self) -> None:
-        """Listen no more."""
-        self._port.close()
-
 
 class Fronts:
     """The callers' sides of several protocols as the one that the exchange knows."""
--- a/pearloom/iax2/transport.py
+++ b/pearloom/iax2/transport.py
@@ -13,9 +13,8 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from pearloom.iax2.frames import UNNUMBERED, Full, Iax, Type, encode_full, mark_repeated
+from pearloom.iax2.frames import Full, Iax, Type, encode_full, mark_repeated
 
-_IAX = int(Type.IAX)
 FIRST_RTT_MS = 60.0  # taken until the first sample: two regions and some work
 LEAST_RETRY_MS = 50.0
 MOST_RETRY_MS = 1000.0
@@ -149,7 +148,7 @@
     def heard(self, frame: Full, now_ms: float) -> Verdict:
         """Take a full frame's numbers; `frame.iseq` confirms what the peer has."""
         self._confirm(frame, now_ms)
-        if frame.type == _IAX and frame.subclass in UNNUMBERED:
+        if not frame.numbered:
             if frame.subclass == Iax.VNAK:
                 self._repeat_from(frame.iseq, now_ms)
             return Verdict.TAKE
--- a/pearloom/iax2/trunk.py
+++ b/pearloom/iax2/trunk.py
@@ -98,12 +98,12 @@
     def set_up(self, set_up: SetUp) -> None:
         """Send NEW."""
         call = set_up.offer.call
-        number = self._legs.number()
         try:
             self.dial()
         except OSError as trouble:
             self._attempt_ended(set_up, AttemptError(Progress.CONNECTING, str(trouble)))
             return
+        number = self._legs.number()
         if number is None:
             # Guards against a number whose old leg may still be talking; unreachable, so that others are
             # tried.
@@ -128,12 +128,10 @@
         if leg is None or leg.over or leg.closing:
             return Progress.NOT_DIALLED
         self._side.counters.add("cancels_out")
-        if leg.never_ran:
-            leg.placed.given_up = True
-            self._close(leg)
-            return Progress.NOT_DIALLED
-        leg.placed.given_up = True
+        never_ran, leg.placed.given_up = leg.never_ran, True
         self._close(leg)
+        if never_ran:
+            return Progress.NOT_DIALLED
         self._exchange.after_ms(CONFIRM_MS, lambda: self._confirmed(leg))
         return None
 
@@ -199,12 +197,7 @@
         look = self._liveness.look(self.now_ms)
         if look.lost:
             self._lost("silent")
-        for number in look.ask:
-            leg = self._legs.get(number)
-            if leg is not None:
-                self._side.counters.add("pings_out")
-                leg.ping(self.now_ms)
-                self._legs.flush(leg, [])
+        self._side.counters.add("pings_out", self._legs.ask(look.ask))
 
     def _lost(self, reason: str) -> None:
         self._exchange.server_lost(self.name, self.now_ms + 1, reason)
