Go on asking callers' IAX2 legs however long all of them are silent

The listener shares the servers' `Liveness`, which takes all legs for one machine's: after 6.5 s of silence it named them lost and asked no further leg, so calls of a caller that vanished stood until their server ended them.

--- a/pearloom/iax2/listener.py
+++ b/pearloom/iax2/listener.py
@@ -88,7 +88,7 @@
         )
         self._by_peer: dict[_Peer, CallerLeg] = {}
         self._spent: OrderedDict[bytes, float] = OrderedDict()
-        self._liveness = Liveness(clock.now_ms())
+        self._liveness = Liveness(clock.now_ms(), one_peer=False)
 
     def listen(self, address: Address) -> Address:
         """Take callers from now on; returns where."""
--- a/pearloom/iax2/liveness.py
+++ b/pearloom/iax2/liveness.py
@@ -28,8 +28,9 @@
 class Liveness:
     """The standing legs of one peer, the one heard longest ago first."""
 
-    def __init__(self, now_ms: float) -> None:
-        """No leg stands."""
+    def __init__(self, now_ms: float, one_peer: bool = True) -> None:
+        """No leg stands. `one_peer`: all legs are one machine's, whose silence ends them all."""
+        self._one_peer = one_peer
         self._legs: OrderedDict[int, float] = OrderedDict()  # when each was heard or asked last
         self._heard_ms = now_ms  # when any was heard
         self._owing_ms = now_ms  # since when anything stands
@@ -69,7 +70,7 @@
         if not self._legs:
             self._audit_from = -1.0
             return Look()
-        if now_ms - max(self._heard_ms, self._owing_ms) >= LOST_MS:
+        if self._one_peer and now_ms - max(self._heard_ms, self._owing_ms) >= LOST_MS:
             return Look(lost=True)
         most = int(len(self._legs) * gone_by / (AUDIT_MS if self._audit_from >= 0 else EACH_MS)) + 1
         if self._audit_from >= 0:
--- a/tests/iax2/test_decisions.py
+++ b/tests/iax2/test_decisions.py
@@ -157,6 +157,18 @@
     assert asked >= set(range(2, 1000))
 
 
+def test_legs_of_many_peers_are_each_asked_however_long_all_are_silent() -> None:
+    liveness = Liveness(0.0, one_peer=False)
+    for leg in range(20):
+        liveness.stands(leg, 0.0)
+    asked: set[int] = set()
+    for now in range(0, int(2 * EACH_MS), 100):
+        look = liveness.look(float(now))
+        asked |= set(look.ask)
+        assert not look.lost
+    assert asked == set(range(20))
+
+
 def test_silence_counts_from_when_something_stands() -> None:
     liveness = Liveness(0.0)
     assert liveness.look(60_000.0).lost is False
