Start alone and quietly where the Unix socket of an upgrade has nobody behind it

Change: a refused connection at the hand-over socket is a plain start like a missing file (pearloom/admin/handover.py, ask). tests/test_handover.py starts with no file, with the file of a process that is gone, and with a file that is no socket: each is a plain start in under 1 s, and the program itself logs nothing of a hand-over and takes callers. Without the change the case of the left file fails on its warning.

--- a/pearloom/admin/handover.py
+++ b/pearloom/admin/handover.py
@@ -119,8 +119,8 @@
         )
         listed = ListUpdate(first["index"], True, servers)
         return Legacy(channel, listener, first["drained"], first["known"], listed)
-    except FileNotFoundError:
-        pass
+    except (FileNotFoundError, ConnectionRefusedError):
+        pass  # nobody serves this address, or the one that did is gone: a plain start
     except (OSError, ValueError, KeyError, TypeError) as trouble:
         # Guards against a file that an earlier process left, and an elder that hangs or speaks otherwise.
         note(logging.WARNING, "handover_unanswered", reason=str(trouble) or type(trouble).__name__)
--- /dev/null
+++ b/tests/test_handover.py
@@ -0,0 +1,64 @@
+"""A start where nobody answers at the Unix socket of an upgrade: it must be a plain start, and soon.
+
+On the fleet's days nobody comes to a Unix socket, and a restarted softswitch finds at best the file of the
+process before it. Each case here is a start that has to go on alone within 1 s.
+"""
+
+from __future__ import annotations
+
+import socket
+import time
+from pathlib import Path
+
+import pytest
+
+from pearloom.admin.handover import ask
+from tests.test_program import TOLD, port, start
+
+PLAIN_START_S = 1.0
+
+
+def test_no_file_is_a_plain_start_at_once(tmp_path: Path) -> None:
+    begun = time.monotonic()
+    assert ask(tmp_path / "pearloom-127.0.0.1-5060.sock") is None
+    assert time.monotonic() - begun < PLAIN_START_S
+
+
+def test_the_file_of_a_process_that_is_gone_is_a_plain_start_at_once(tmp_path: Path) -> None:
+    path = tmp_path / "pearloom-127.0.0.1-5060.sock"
+    left = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
+    left.bind(str(path))
+    left.close()  # the file stays, nobody listens at it
+    begun = time.monotonic()
+    assert ask(path) is None
+    assert time.monotonic() - begun < PLAIN_START_S
+
+
+def test_a_file_that_is_no_socket_is_a_plain_start_at_once(tmp_path: Path) -> None:
+    path = tmp_path / "pearloom-127.0.0.1-5060.sock"
+    path.write_text("left by something else\n")
+    begun = time.monotonic()
+    assert ask(path) is None
+    assert time.monotonic() - begun < PLAIN_START_S
+
+
+@pytest.mark.parametrize("left", ["nothing", "socket"])
+def test_the_program_starts_alone_beside_a_file_without_a_peer(tmp_path: Path, left: str) -> None:
+    address = ("127.0.0.1", port())
+    if left == "socket":
+        stale = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
+        stale.bind(str(tmp_path / f"pearloom-{address[0]}-{address[1]}.sock"))
+        stale.close()
+    process = start(tmp_path, {**TOLD, "listen": f"{address[0]}:{address[1]}"}, TMPDIR=str(tmp_path))
+    assert process.stderr is not None
+    lines = []
+    while "event=started" not in (line := process.stderr.readline()):
+        assert line, "ended before it started"
+        lines.append(line)
+    assert not [one for one in lines if "handover" in one], lines
+    with socket.create_connection(address, timeout=5):
+        pass
+    process.kill()
+    process.wait()
+    assert process.stderr is not None
+    process.stderr.close()
