--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -13,7 +13,7 @@
 import pytest
 
 from pearloom.admin.handover import ask
-from tests.test_program import TOLD, port, start
+from tests.test_program import TOLD, await_line, port, start
 
 PLAIN_START_S = 1.0
 
@@ -24,11 +24,16 @@
     assert time.monotonic() - begun < PLAIN_START_S
 
 
-def test_the_file_of_a_process_that_is_gone_is_a_plain_start_at_once(tmp_path: Path) -> None:
-    path = tmp_path / "pearloom-127.0.0.1-5060.sock"
+def leave_socket_file(path: Path) -> None:
+    """What a killed process leaves: the file stays, nobody listens at it."""
     left = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
     left.bind(str(path))
-    left.close()  # the file stays, nobody listens at it
+    left.close()
+
+
+def test_the_file_of_a_process_that_is_gone_is_a_plain_start_at_once(tmp_path: Path) -> None:
+    path = tmp_path / "pearloom-127.0.0.1-5060.sock"
+    leave_socket_file(path)
     begun = time.monotonic()
     assert ask(path) is None
     assert time.monotonic() - begun < PLAIN_START_S
@@ -46,15 +51,9 @@
 def test_the_program_starts_alone_beside_a_file_without_a_peer(tmp_path: Path, left: str) -> None:
     address = ("127.0.0.1", port())
     if left == "socket":
-        stale = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
-        stale.bind(str(tmp_path / f"pearloom-{address[0]}-{address[1]}.sock"))
-        stale.close()
+        leave_socket_file(tmp_path / f"pearloom-{address[0]}-{address[1]}.sock")
     process = start(tmp_path, {**TOLD, "listen": f"{address[0]}:{address[1]}"}, TMPDIR=str(tmp_path))
-    assert process.stderr is not None
-    lines = []
-    while "event=started" not in (line := process.stderr.readline()):
-        assert line, "ended before it started"
-        lines.append(line)
+    lines = await_line(process, "started")
     assert not [one for one in lines if "handover" in one], lines
     with socket.create_connection(address, timeout=5):
         pass
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -138,10 +138,14 @@
             caller.close()
 
 
-def await_line(process: subprocess.Popen[str], event: str) -> None:
+def await_line(process: subprocess.Popen[str], event: str) -> list[str]:
+    """The lines that came before the first of this event."""
     assert process.stderr is not None
+    before = []
     while f"event={event}" not in (line := process.stderr.readline()).split():
         assert line, f"ended before {event}"
+        before.append(line)
+    return before
 
 
 def managed(address: tuple[str, int], path: str, method: str = "GET") -> bytes:
