Ask the coordinator of a SIGHUP at once and log the move as a move, not a loss

Change: move() marks the close; the follow loop logs coordinator_moved (info, with index and the new address) and dials at once. A stream that ends for any other reason is still coordinator_lost.

--- a/pearloom/servers/coordinator.py
+++ b/pearloom/servers/coordinator.py
@@ -100,6 +100,7 @@
         self._exchange = exchange
         self._counters = counters
         self._sock: socket.socket | None = None
+        self._moved = False  # the connection at hand was closed by a move, not lost
         self.heard = False  # has a coordinator told anything, if only that there is nothing new?
 
     def start(self) -> None:
@@ -112,6 +113,7 @@
         Guards against waiting for the old connection to end, which it does seconds later."""
         self._address = address
         if self._sock is not None:
+            self._moved = True
             self._sock.close()
 
     def _follow(self) -> None:
@@ -119,14 +121,22 @@
             try:
                 self._connection()
             except OSError as trouble:
-                note(logging.WARNING, "coordinator_lost", index=self.index, reason=str(trouble))
+                if not self._moved:
+                    note(logging.WARNING, "coordinator_lost", index=self.index, reason=str(trouble))
             except Exception:
                 crashed("coordinator_failed", index=self.index)
-            gevent.sleep(REDIAL_S)
+            if self._moved:
+                # Guards against taking a move for a loss: it is no warning, and the new address is asked at
+                # once, not after the pause that spares a coordinator that has just failed.
+                host, port = self._address
+                note(logging.INFO, "coordinator_moved", index=self.index, coordinator=f"{host}:{port}")
+            else:
+                gevent.sleep(REDIAL_S)
 
     def _connection(self) -> None:
         """One connection, until it ends; guards against one that stays open and brings nothing more."""
         self._sock = sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self._moved = False
         try:
             sock.settimeout(DIAL_S)
             sock.connect(self._address)
