Tell in server_closed how many set-ups a connection took along, whether it spoke, its age

Change: server_closed carries open (set-ups on it when it ended), spoke (the server sent anything on it) and age_ms. No decision changes.

--- a/pearloom/sip/trunk.py
+++ b/pearloom/sip/trunk.py
@@ -348,7 +348,18 @@
         if link in self._links:
             self._links.remove(link)
         if reason != "done":
-            note(logging.INFO, "server_closed", server=self.name, reason=reason)
+            # How many set-ups it took along, whether the server ever spoke on it and how old it was: a
+            # server that closes new connections at once shows as many short, silent ones.
+            spoke, age_ms = link.heard_ms > link.opened_ms, round(self.now_ms - link.opened_ms)
+            note(
+                logging.INFO,
+                "server_closed",
+                server=self.name,
+                reason=reason,
+                open=len(link.open),
+                spoke=spoke,
+                age_ms=age_ms,
+            )
         for set_up in list(link.open.values()):
             self._failed(set_up, AttemptError(set_up.progress, reason, line_only=not self._dead))
         since = self.now_ms - BYE_KEPT_MS
