End the softswitch of the hand-over test by the fixture that ends every started process

Found on review: tests/test_handover.py started the program with test_program's start() but killed it by hand after its asserts, so a failing assert left the process running; test_program's autouse fixture 'ended', which ends every process that start() made, also on failure, did not apply there. It is now imported into the module, where pytest uses it (--setup-show: set up for all five tests), and the hand-made kill, wait and close are gone.

--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -13,7 +13,9 @@
 import pytest
 
 from pearloom.admin.handover import ask
-from tests.test_program import TOLD, await_line, port, start
+
+# `ended` is the autouse fixture that ends what a test started, also when it fails.
+from tests.test_program import TOLD, await_line, ended, port, start  # noqa: F401
 
 PLAIN_START_S = 1.0
 
@@ -57,7 +59,3 @@
     assert not [one for one in lines if "handover" in one], lines
     with socket.create_connection(address, timeout=5):
         pass
-    process.kill()
-    process.wait()
-    assert process.stderr is not None
-    process.stderr.close()
