Read a call's tenant from parameter 9 and tell the decision module

At fault: core/exchange.py told -1 for every call, and binary/isup.py had no code 9.

A set-up that names a tenant the settings do not have is refused as a bad set-up, as for an unknown class: a made-up name would get past every share. Without the parameter, or where the settings have no tenants, the call is nobody's, as before.

--- a/pearloom/binary/callers.py
+++ b/pearloom/binary/callers.py
@@ -470,6 +470,7 @@
         return self._rules.offer(
             call=message.call,
             class_name=message.text(Code.CLASS),
+            tenant_name=message.text(Code.TENANT) if Code.TENANT in message.parameters else "",
             number=message.text(Code.NUMBER) or "",
             description=message.parameters.get(Code.DESCRIPTION, b""),
             patience_ms=float(patience) if _MILLISECONDS.fullmatch(patience) else 0.0,
--- a/pearloom/binary/isup.py
+++ b/pearloom/binary/isup.py
@@ -38,6 +38,7 @@
 
     CLASS = 3
     PATIENCE_MS = 6
+    TENANT = 9
     NUMBER = 15
     FIGURES = 18
     STAY_AWAY_MS = 21
--- a/pearloom/core/config.py
+++ b/pearloom/core/config.py
@@ -55,6 +55,7 @@
     known_digest: str  # the numbers of events count from the list that this stands for
     settings: api.Settings
     class_names: tuple[str, ...]
+    tenant_names: tuple[str, ...]
     most_width: int
     dial_timeout_ms: float
     round_ms: float
@@ -110,6 +111,7 @@
             known_digest=sha256(json.dumps(known, sort_keys=True).encode()).hexdigest(),
             settings=read_settings(params),
             class_names=tuple(str(service["name"]) for service in told["settings"]["services"]),
+            tenant_names=tuple(str(tenant["name"]) for tenant in told["settings"].get("tenants") or ()),
             most_width=max(
                 (int(width) for width in told["settings"].get("specifics", {}).get("channelsNeeded", ())),
                 default=1,
--- a/pearloom/core/exchange.py
+++ b/pearloom/core/exchange.py
@@ -50,6 +50,7 @@
     patience_ms: float
     first_choice: int
     was_cut: bool = False
+    tenant: int = -1  # its place in the settings; -1: the call is nobody's
     codec: int = 0  # what the caller's media are in, as RFC 5456 (8.7) numbers codecs; 0: none come this way
 
 
@@ -292,7 +293,7 @@
             api.CallArrived(
                 call=offer.call,
                 kind=offer.kind,
-                tenant=-1,
+                tenant=offer.tenant,
                 patience_us=round(offer.patience_ms * 1000),
                 first_choice=offer.first_choice,
                 was_cut=offer.was_cut,
--- a/pearloom/core/offers.py
+++ b/pearloom/core/offers.py
@@ -23,6 +23,7 @@
     def __init__(self, config: Config) -> None:
         """Know the classes and the longest deadline of the settings."""
         self._kinds = {name: number for number, name in enumerate(config.class_names)}
+        self._tenants = {name: number for number, name in enumerate(config.tenant_names)}
         self.deadlines_ms = [kind.deadline_us / 1000.0 for kind in config.settings.classes]
         self._most_patience_ms = PATIENCE_SLACK * max(self.deadlines_ms)
 
@@ -40,8 +41,12 @@
         patience_ms: float,
         first_choice: int,
         was_cut: bool,
+        tenant_name: str | None = "",
     ) -> Offer | None:
-        """The offer, or None where anything lies outside what a set-up may have."""
+        """The offer, or None where anything lies outside what a set-up may have.
+
+        `tenant_name`: empty where none is told, None where it can't be read. Where the settings have tenants,
+        one that they do not name is no tenant's: a made-up name must not get past every share."""
         kind = self._kinds.get(class_name or "")
         if class_name is None or kind is None or call == _NO_CALL:
             return None
@@ -49,4 +54,7 @@
             return None
         if not 0 < patience_ms <= self._most_patience_ms or not -1 <= first_choice <= MOST_CHOICE:
             return None
-        return Offer(call, kind, class_name, number, description, patience_ms, first_choice, was_cut)
+        tenant = self._tenants.get(tenant_name or "", -1)
+        if self._tenants and tenant < 0 and tenant_name != "":
+            return None
+        return Offer(call, kind, class_name, number, description, patience_ms, first_choice, was_cut, tenant)
--- a/tests/player.py
+++ b/tests/player.py
@@ -45,6 +45,7 @@
         {"name": "open-form", "aimUs": 2000000, "deadlineUs": 9000000, "effect": "free", "importance": 1.0},
         {"name": "save-answers", "aimUs": 1500000, "deadlineUs": 9000000, "effect": "free", "importance": 3},
     ],
+    "tenants": [{"name": "nour-clinics", "fraction": 0.6}, {"name": "sahel", "fraction": 0.4}],
     "specifics": {"guardUs": 300000, "skilledPools": [[0, 1, 2], [0, 1]]},
 }  # fmt: skip
 
