Learn a pool's unpressed delay from its first answers, however far it is

At fault: policy.py, _heard, which learns the level from answers near it alone. Ruled out: the 28 errors in 5 s are one server that fails half of what it takes (65 stood, 60 did not), and its trials are right; no line was short; nothing waited.

Now the first answer of a pool sets its level, up to 30 % of the aim, and the next nine their mean.

--- a/pearloom/policy.py
+++ b/pearloom/policy.py
@@ -32,7 +32,7 @@
 LINES_KEPT = 0.02  # x size of the pool: lines kept free for rank 2, but one a proxy in a small fleet
 LINES_SCARCE = 1.0  # lines for each proxy: with fewer told, each keeps to its own part of them
 START_BASE = 0.05  # x aim: unpressed delay assumed before the first answer
-BASE_GAIN = 0.1  # weight of one unpressed answer in the unpressed delay
+BASE_GAIN = 0.1  # weight of one unpressed answer in the unpressed delay, once ten have been seen
 DELAY_GAIN = 0.5  # weight of one answer in the delay: answers are few, so each counts for much
 DELAY_HALVES = 0.6  # x aim: with no news, the excess delay is believed half gone after this (creeping back)
 DELAY_TURNS = 2.0  # x own time between calls for one pool: the same, where that is longer
@@ -88,6 +88,7 @@
     credit: float = PACE_DEPTH  # calls that the pace leaves to send
     credit_at: int = 0
     out: dict[str, int] = field(default_factory=dict)  # unanswered set-ups: call -> sent at
+    unpressed: int = 0  # answers that the unpressed delay was learnt from
     delay_us: float = 0.0  # excess over base_us, smoothed
     heard_at: int = -1  # last answer to a set-up
     answered_sent: int = -1  # when the youngest answered set-up was sent
@@ -409,11 +410,17 @@
 
     def _heard(self, pool: Pool, delay_us: float) -> None:
         """A set-up was answered: the pool's delay, its unpressed level, and the end of any silence."""
+        if not pool.unpressed:
+            # Guards against a far pool whose every answer looks pressed beside the level assumed at first, so
+            # that the level is never learnt and the gate hardly opens. Harm: of a pool first met in a jam the
+            # level is too high until some quicker answers have come.
+            pool.base_us = min(max(delay_us, pool.base_us), BOUND_OF_AIM * self._aim)
         excess = max(delay_us - pool.base_us, 0.0)
         self._pressed += PRESSED_GAIN * ((excess > WAIT_BOUND[0] * self._resend) - self._pressed)
         pool.delay_us += DELAY_GAIN * (excess - pool.delay_us)
         if excess <= WAIT_BOUND[0] * self._resend:
-            pool.base_us += BASE_GAIN * (delay_us - pool.base_us)
+            pool.unpressed += 1
+            pool.base_us += max(BASE_GAIN, 1 / pool.unpressed) * (delay_us - pool.base_us)
         pool.heard_at = self._now
         pool.errors = 0
         if excess > JAMMED * self._aim:
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -636,3 +636,24 @@
         held = proxy.call()
         assert finals(proxy.tell(api.TimerDue(own_timer(held).token), int(policy.HOLD * AIM)))
     assert sum(len(line) for line in proxy.controller._held) <= 1
+
+
+def test_a_far_pool_opens_once_its_own_unpressed_delay_is_learnt() -> None:
+    # Far: every answer takes twice what is assumed at first plus the bound, with nothing waiting anywhere.
+    proxy = Proxy(entry(A, 0))
+    far = 2 * int(0.05 * AIM + 0.3 * 400_000)
+    for number in range(1, 13):
+        assert sends(proxy.call()), f"call {number} was not sent"
+        proxy.now += far
+        proxy.stands(number, A, delay=far)
+
+
+def test_a_pool_first_met_in_a_jam_is_soon_thought_quick_again() -> None:
+    proxy = Proxy(entry(A, 0))
+    for number, delay in enumerate([900_000, 20_000, 20_000, 20_000, 20_000, 20_000], 1):
+        proxy.call()
+        proxy.tell(api.TimerDue(0), after=2 * AIM)
+        proxy.stands(number, A, delay=delay)
+    proxy.call()
+    proxy.stands(7, A, delay=400_000)
+    assert not sends(proxy.call()), "an answer 380 ms above the pool's own level leaves the gate open"
