Let a pool's first re-tune take the rate it saw, not a quarter more than one set-up

One of two servers fails half of what it takes and is on trials; the other was idle (excess 1 to 15 ms, 80 to 145 lines free), yet n1 refused 285 set-ups on it with two or three out: its limit was 1.0 at the start, 1.2 after 2 s, 1.6 after 4 s, 2.0 after 6 s and 1.0 again after the upgrade, where 45 calls a second of 65 ms need 3. At fault: policy.py, _retune: the offered rate was averaged from 0 (10 a second told where 25 came) and the limit may grow by a quarter a period, from the headroom on. Ruled out: doubt, delay and lines, all open in the trace.

The growth guard is against a bunch of redials beside a limit that was learnt; a pool's first period has none.

--- a/pearloom/policy.py
+++ b/pearloom/policy.py
@@ -498,11 +498,14 @@
             if p.state is not PoolState.GONE or p.out or p.cell not in taken
         }
         for pool in self._pools.values():
-            pool.offered_rate += RATE_GAIN * (pool.offered / period - pool.offered_rate)
+            # Guards against a start, or an upgrade, after which the limit takes ten seconds to be what it was
+            # while other gates are shut. Harm: a bunch of redials in a pool's first period lifts it at once.
+            fresh = not pool.offered_rate
+            pool.offered_rate += (1.0 if fresh else RATE_GAIN) * (pool.offered / period - pool.offered_rate)
             pool.stood_rate += RATE_GAIN * (pool.stood / period - pool.stood_rate)
             pool.offered = pool.stood = 0
             wanted = LIMIT_FACTOR * pool.offered_rate * pool.base_us / 1e6 + HEADROOM
-            pool.limit = min(wanted, pool.limit * LIMIT_GROWTH)
+            pool.limit = wanted if fresh else min(wanted, pool.limit * LIMIT_GROWTH)
         # Over all pools: at one pool a proxy of a large fleet sees a call every few seconds, and the best of
         # ten such counts is chance. What a pool carries while cold it carries warm.
         known = [
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -648,6 +648,16 @@
         proxy.stands(number, A, delay=far)
 
 
+def test_the_first_re_tune_takes_what_it_saw_as_the_rate() -> None:
+    proxy = Proxy(entry(A, 0))
+    for number in range(1, 31):
+        proxy.now += 70_000
+        proxy.call()
+        proxy.stands(number, A, delay=120_000)
+    proxy.now += 70_000  # past the first re-tune: 14 calls a second of 120 ms each, doubled, and one more
+    assert all(sends(proxy.call()) for _ in range(4)), "the limit still is that of a pool nobody calls"
+
+
 def test_a_pool_first_met_in_a_jam_is_soon_thought_quick_again() -> None:
     proxy = Proxy(entry(A, 0))
     for number, delay in enumerate([900_000, 20_000, 20_000, 20_000, 20_000, 20_000], 1):
