Share connections where hand-shakes have a price, and dial no closing server in a loop

Dials counted by cause at 60 softswitches, 2,851: 1,440 servers newly listed, 696 because each open connection carried a set-up (sip/trunk.py, SHARED = 1), 715 after a close beside others (link_closed), in loops, as in one softswitch 32.399 server_closed server=s- reason="closed by server" open=0 spoke=True age_ms=31 32.426 server_closed server=s- reason="closed by server" open=0 spoke=True age_ms=26 32.466 server_closed server=s- reason="closed by server" open=0 spoke=True age_ms=38 each followed at once by a dial. Ruled out: dials that fail at full servers (none), idle closes (none), the look for silent servers (no dial came of it).

pearloom/sip/dialling.py decides, without I/O: with a price, four set-ups share a connection unless that server broke one under set-ups, or left one mute, in the last 30 s; dials after a close come 250 ms apart, as a release that went with it is owed within 1 s. Without a price set-ups are spread as before.

Not taken: dialling at the first set-up only; nearly all servers are used, and a server tells on the next connection what became of calls of before a restart.

--- a/pearloom/__main__.py
+++ b/pearloom/__main__.py
@@ -63,7 +63,8 @@
             config.memory_mb,
         )
         self.callers = Callers(self.exchange, clock, self.counters, config)
-        makers: dict[str, Maker] = {SIP: lambda side, server: Trunk(side, server, config.dial_timeout_ms)}
+        wait_ms, price = config.dial_timeout_ms, config.handshake_price
+        makers: dict[str, Maker] = {SIP: lambda side, server: Trunk(side, server, wait_ms, price)}
         self.servers = Directory(self.exchange, clock, self.counters, makers)
         sides: CallerSide = self.callers
         if installation is not None:
--- a/pearloom/core/config.py
+++ b/pearloom/core/config.py
@@ -58,6 +58,7 @@
     tenant_names: tuple[str, ...]
     most_width: int
     dial_timeout_ms: float
+    handshake_price: float  # points for a new connection a first try
     round_ms: float
     descriptors: int
     memory_mb: float
@@ -117,6 +118,7 @@
                 default=1,
             ),
             dial_timeout_ms=float(params.get("limits.dialTimeoutUs", 500_000)) / 1000.0,
+            handshake_price=float(params.get("prices.handshake", 0.0)),
             round_ms=max(float(params.get("roundUs", 1000)) / 1000.0, 1.0),
             descriptors=int(told.get("limits", {}).get("sockets", 1024)),
             memory_mb=float(told.get("limits", {}).get("memory_mb", 192)),
--- a/pearloom/sip/trunk.py
+++ b/pearloom/sip/trunk.py
@@ -20,11 +20,11 @@
 from pearloom.servers.directory import Directory
 from pearloom.settings import read_report
 from pearloom.sip import codec as sip
+from pearloom.sip.dialling import Dialling
 
 CUT_SHORT_MS = 300.0  # a message that has begun is whole by then, or never
 MUTE_FROM_MS = 100.0  # a set-up given up later than this, with no word on its connection since, tells of it
 MUTE_MS = 1000.0  # a connection that left a set-up unanswered and says nothing for so long is closed
-SHARED = 1  # set-ups open on each connection from which on another one is opened
 QUIET_MS = 2500.0  # with calls standing, a server silent for so long gets a new connection
 DEAD_DIALS = 2  # dials in a row that never came up: with LOST_MS, what stands there is given up
 # A machine that is cut off keeps its calls, and the end of those of a dead one is owed within 8 s: as late as
@@ -130,8 +130,11 @@
 class Trunk:
     """All that concerns one session server, by its id."""
 
-    def __init__(self, side: Directory, server: Server, dial_timeout_ms: float) -> None:
+    def __init__(
+        self, side: Directory, server: Server, dial_timeout_ms: float, handshake_price: float
+    ) -> None:
         """Know the server; not connected yet."""
+        self._dialling = Dialling(handshake_price)
         self._side = side
         self._exchange = side.exchange
         self._dial_timeout_s = dial_timeout_ms / 1000.0
@@ -203,6 +206,7 @@
             letter.link.send(Letter(sip.encode_request("CANCEL", offer.number, call, sequence, {})))
             if letter.link.heard_ms <= letter.sent_ms < now - MUTE_FROM_MS:
                 letter.link.mute_ms = min(letter.link.mute_ms, now)
+                self._dialling.broke(now)
             self._given_up.pop(call, None)
             self._given_up[call] = (offer.number, sequence, now)
             _drop_old(self._given_up, now - GIVEN_UP_KEPT_MS, lambda kept: kept[2])
@@ -242,7 +246,7 @@
         a mute one gets no further set-up until it speaks again."""
         speaking = [link for link in self._links if link.mute_ms == math.inf]
         best = min(speaking, key=lambda link: len(link.open), default=None)
-        if best is None or len(best.open) >= SHARED:
+        if best is None or self._dialling.wants_another(len(best.open), self.now_ms):
             self._dial_another()
         if best is None and not isinstance(letter, _SetUpLetter):
             best = next(reversed(self._links), None)
@@ -360,6 +364,8 @@
                 spoke=spoke,
                 age_ms=age_ms,
             )
+        if link.open:
+            self._dialling.broke(self.now_ms)
         for set_up in list(link.open.values()):
             self._failed(set_up, AttemptError(set_up.progress, reason, line_only=not self._dead))
         since = self.now_ms - BYE_KEPT_MS
@@ -370,7 +376,9 @@
             if self._exchange.standing_at(self.name) and not self._dead:
                 # Guards against a release that was written to the connection that ended: the server sends it
                 # again on the next one that is opened.
-                self._dial_another()
+                pause_ms = self._dialling.after_close(self.now_ms)
+                if pause_ms is not None:
+                    self._side.exchange.after_ms(pause_ms, self._dial_after_close)
             return
         self._waiting += [letter for letter in again if letter not in self._waiting]
         if self._exchange.standing_at(self.name) or self._waiting:
@@ -380,6 +388,10 @@
             else:
                 self.dial()
 
+    def _dial_after_close(self) -> None:
+        if self._exchange.standing_at(self.name):
+            self._dial_another()
+
     def watch(self) -> None:
         """Called now and then: has a server that owes something fallen silent?"""
         for link in list(self._links):
