--- a/pearloom/binary/callers.py
+++ b/pearloom/binary/callers.py
@@ -457,7 +457,7 @@
 
     def read_offer(self, message: Message) -> Offer | None:
         """The set-up in a message, or None where it lacks what a set-up needs."""
-        told = message.text(Code.FIGURES) if Code.FIGURES in message.parameters else ""
+        told = message.text(Code.FIGURES, absent="")
         if told is None or (told and not _FIGURES.fullmatch(told)):
             return None
         figures = {
@@ -470,7 +470,7 @@
         return self._rules.offer(
             call=message.call,
             class_name=message.text(Code.CLASS),
-            tenant_name=message.text(Code.TENANT) if Code.TENANT in message.parameters else "",
+            tenant_name=message.text(Code.TENANT, absent=""),
             number=message.text(Code.NUMBER) or "",
             description=message.parameters.get(Code.DESCRIPTION, b""),
             patience_ms=float(patience) if _MILLISECONDS.fullmatch(patience) else 0.0,
--- a/pearloom/binary/isup.py
+++ b/pearloom/binary/isup.py
@@ -64,10 +64,12 @@
     call: str
     parameters: Mapping[int, bytes] = field(default_factory=dict)
 
-    def text(self, code: Code) -> str | None:
-        """A text parameter, or None where it is absent or not ASCII."""
+    def text(self, code: Code, absent: str | None = None) -> str | None:
+        """A text parameter, `absent` where it is not there, None where it is not ASCII."""
         value = self.parameters.get(code)
-        return value.decode("ascii") if value is not None and value.isascii() else None
+        if value is None:
+            return absent
+        return value.decode("ascii") if value.isascii() else None
 
     @property
     def cause(self) -> int | None:
--- a/pearloom/sip/trunk.py
+++ b/pearloom/sip/trunk.py
@@ -134,7 +134,7 @@
         self, side: Directory, server: Server, dial_timeout_ms: float, handshake_price: float
     ) -> None:
         """Know the server; not connected yet."""
-        self._dialling = Dialling(handshake_price)
+        self._hand_shakes = Dialling(handshake_price)
         self._side = side
         self._exchange = side.exchange
         self._dial_timeout_s = dial_timeout_ms / 1000.0
@@ -206,7 +206,7 @@
             letter.link.send(Letter(sip.encode_request("CANCEL", offer.number, call, sequence, {})))
             if letter.link.heard_ms <= letter.sent_ms < now - MUTE_FROM_MS:
                 letter.link.mute_ms = min(letter.link.mute_ms, now)
-                self._dialling.broke(now)
+                self._hand_shakes.broke(now)
             self._given_up.pop(call, None)
             self._given_up[call] = (offer.number, sequence, now)
             _drop_old(self._given_up, now - GIVEN_UP_KEPT_MS, lambda kept: kept[2])
@@ -246,7 +246,7 @@
         a mute one gets no further set-up until it speaks again."""
         speaking = [link for link in self._links if link.mute_ms == math.inf]
         best = min(speaking, key=lambda link: len(link.open), default=None)
-        if best is None or self._dialling.wants_another(len(best.open), self.now_ms):
+        if best is None or self._hand_shakes.wants_another(len(best.open), self.now_ms):
             self._dial_another()
         if best is None and not isinstance(letter, _SetUpLetter):
             best = next(reversed(self._links), None)
@@ -365,7 +365,7 @@
                 age_ms=age_ms,
             )
         if link.open:
-            self._dialling.broke(self.now_ms)
+            self._hand_shakes.broke(self.now_ms)
         for set_up in list(link.open.values()):
             self._failed(set_up, AttemptError(set_up.progress, reason, line_only=not self._dead))
         since = self.now_ms - BYE_KEPT_MS
@@ -376,7 +376,7 @@
             if self._exchange.standing_at(self.name) and not self._dead:
                 # Guards against a release that was written to the connection that ended: the server sends it
                 # again on the next one that is opened.
-                pause_ms = self._dialling.after_close(self.now_ms)
+                pause_ms = self._hand_shakes.after_close(self.now_ms)
                 if pause_ms is not None:
                     self._side.exchange.after_ms(pause_ms, self._dial_after_close)
             return
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -8,6 +8,7 @@
 
 import socket
 import time
+from collections.abc import Callable
 from pathlib import Path
 
 import pytest
@@ -20,10 +21,8 @@
 PLAIN_START_S = 1.0
 
 
-def test_no_file_is_a_plain_start_at_once(tmp_path: Path) -> None:
-    begun = time.monotonic()
-    assert ask(tmp_path / "pearloom-127.0.0.1-5060.sock") is None
-    assert time.monotonic() - begun < PLAIN_START_S
+def leave_nothing(path: Path) -> None:
+    """A first start."""
 
 
 def leave_socket_file(path: Path) -> None:
@@ -33,17 +32,17 @@
     left.close()
 
 
-def test_the_file_of_a_process_that_is_gone_is_a_plain_start_at_once(tmp_path: Path) -> None:
-    path = tmp_path / "pearloom-127.0.0.1-5060.sock"
-    leave_socket_file(path)
-    begun = time.monotonic()
-    assert ask(path) is None
-    assert time.monotonic() - begun < PLAIN_START_S
+def leave_other_file(path: Path) -> None:
+    """Something that is no socket."""
+    path.write_text("left by something else\n")
 
 
-def test_a_file_that_is_no_socket_is_a_plain_start_at_once(tmp_path: Path) -> None:
+@pytest.mark.parametrize("leave", [leave_nothing, leave_socket_file, leave_other_file])
+def test_a_file_without_a_peer_is_a_plain_start_at_once(
+    tmp_path: Path, leave: Callable[[Path], None]
+) -> None:
     path = tmp_path / "pearloom-127.0.0.1-5060.sock"
-    path.write_text("left by something else\n")
+    leave(path)
     begun = time.monotonic()
     assert ask(path) is None
     assert time.monotonic() - begun < PLAIN_START_S
