--- a/pearloom/binary/connection.py
+++ b/pearloom/binary/connection.py
@@ -11,7 +11,7 @@
 
 from pearloom.binary import isup
 from pearloom.binary.isup import Cause, Code, Message, Type
-from pearloom.core.connection import Connection, Letter
+from pearloom.core.connection import Connection, OutboundMessage
 from pearloom.core.errors import Malformed
 from pearloom.core.exchange import FULL_STAY_AWAY_MS, Exchange
 from pearloom.core.logs import note
@@ -31,7 +31,7 @@
 EMPTY_INSIDE_MS = 2800.0  # and later nobody may still be sending one
 
 
-class _AnswerLetter(Letter):
+class _OutboundAnswer(OutboundMessage):
     """An answer that says that a call stands."""
 
     __slots__ = ()
@@ -59,7 +59,7 @@
         """Pass the answer on."""
         self.open.discard(call)
         message = Message(Type.ANSWER, call, {Code.DESCRIPTION: description})
-        self._send(_AnswerLetter(isup.encode(message), call))
+        self._send(_OutboundAnswer(isup.encode(message), call))
 
     def refused(self, call: str, stay_away_ms: float) -> None:
         """Turn the set-up away."""
@@ -67,7 +67,7 @@
         parameters = {int(Code.CAUSE): bytes([Cause.CONGESTION])}
         if stay_away_ms > 0:
             parameters[Code.STAY_AWAY_MS] = str(round(stay_away_ms)).encode("ascii")
-        self._send(Letter(isup.encode(Message(Type.RELEASE, call, parameters)), call))
+        self._send(OutboundMessage(isup.encode(Message(Type.RELEASE, call, parameters)), call))
 
     def failed(self, call: str) -> None:
         """Say that the set-up failed."""
@@ -129,20 +129,20 @@
 
     def _send_release(self, call: str, cause: int) -> None:
         message = Message(Type.RELEASE, call, {Code.CAUSE: bytes([cause])})
-        self._send(Letter(isup.encode(message), call))
+        self._send(OutboundMessage(isup.encode(message), call))
 
-    def _send(self, letter: Letter) -> None:
+    def _send(self, outbound: OutboundMessage) -> None:
         if self.connection.closed:
-            self._undelivered(letter)
+            self._undelivered(outbound)
             return
-        self.connection.send(letter)
+        self.connection.send(outbound)
         if self._peer_ended and not self.open:
             self.connection.finish()
 
-    def _undelivered(self, letter: Letter) -> None:
+    def _undelivered(self, outbound: OutboundMessage) -> None:
         """Guards against a call that stands at a server while its caller never hears of it."""
-        if isinstance(letter, _AnswerLetter):
-            self._side.exchange.left(letter.call, Cause.TEMPORARY_FAILURE)
+        if isinstance(outbound, _OutboundAnswer):
+            self._side.exchange.left(outbound.call, Cause.TEMPORARY_FAILURE)
 
     def _data(self, data: bytes) -> None:
         self._byte_ms = self._side.now_ms()
@@ -188,7 +188,7 @@
                 cause = message.cause
                 self.open.discard(message.call)
                 self._side.exchange.left(message.call, Cause.NORMAL if cause is None else cause)
-                self._send(Letter(isup.encode(Message(Type.RELEASE_HEARD, message.call))))
+                self._send(OutboundMessage(isup.encode(Message(Type.RELEASE_HEARD, message.call))))
             case Type.RELEASE_HEARD:
                 self._side.talked(self)
                 self._side.counters.add("releases_heard")
@@ -196,7 +196,7 @@
             case Type.TEST:
                 cause = 1 if self._side.takes_work else 0
                 reply = Message(Type.TESTED, message.call, {Code.CAUSE: bytes([cause])})
-                self._send(Letter(isup.encode(reply)))
+                self._send(OutboundMessage(isup.encode(reply)))
             case Type.PROGRESS | Type.GROUP_STATE | Type.TESTED:
                 pass
             case _:
@@ -243,13 +243,13 @@
         if not self.open:
             self.connection.finish()
 
-    def _closed(self, reason: str, unsent: list[Letter]) -> None:
+    def _closed(self, reason: str, unsent: list[OutboundMessage]) -> None:
         if self.open or unsent:
             note(logging.INFO, "caller_closed", reason=reason, open=len(self.open), unsent=len(unsent))
         self._side.forget(self)
         for call in list(self.open):
             self._side.exchange.left(call, Cause.NORMAL)
         self.open.clear()
-        for letter in unsent:
-            self._undelivered(letter)
+        for outbound in unsent:
+            self._undelivered(outbound)
         self._side.again(self.unheard)
--- a/pearloom/core/connection.py
+++ b/pearloom/core/connection.py
@@ -21,7 +21,7 @@
 WRITE_S = 2.0  # a peer that takes nothing for this long is as good as gone
 
 
-class Letter:
+class OutboundMessage:
     """Bytes to be written; knows how far they have come."""
 
     __slots__ = ("call", "data", "progress", "withdrawn")
@@ -45,7 +45,7 @@
         sock: socket.socket,
         on_data: Callable[[bytes], None],
         on_end: Callable[[], None],
-        on_close: Callable[[str, list[Letter]], None],
+        on_close: Callable[[str, list[OutboundMessage]], None],
         read_bytes: int = READ_BYTES,
     ) -> None:
         """`on_end`: the peer sends no more. `on_close`: all is over; what was not written comes with it."""
@@ -53,23 +53,23 @@
         self._sock = sock
         self._on_data, self._on_end, self._on_close = on_data, on_end, on_close
         self._read_bytes = read_bytes
-        self._queue: deque[Letter] = deque()
+        self._queue: deque[OutboundMessage] = deque()
         self._queued = 0
-        self._sent_of_first = 0  # bytes of the first letter that have left
+        self._sent_of_first = 0  # bytes of the first outbound that have left
         self._ready = Event()
         self._finishing = False
         self._writes = False
         self.closed = False
 
     def start(self) -> None:
-        """Begin to read; a writer is there from the first letter on."""
+        """Begin to read; a writer is there from the first outbound on."""
         gevent.spawn(self._guard, self._read)
 
-    def send(self, letter: Letter) -> None:
-        """Queue a letter; a peer that is too far behind is cut off instead."""
-        letter.progress = Progress.CONNECTING
-        self._queue.append(letter)
-        self._queued += len(letter.data)
+    def send(self, outbound: OutboundMessage) -> None:
+        """Queue a outbound; a peer that is too far behind is cut off instead."""
+        outbound.progress = Progress.CONNECTING
+        self._queue.append(outbound)
+        self._queued += len(outbound.data)
         if self._queued > MOST_QUEUED:
             # Guards against a slow reader that fills the memory.
             self.close("reader too slow")
@@ -93,7 +93,7 @@
         self.closed = True
         self._sock.close()
         self._ready.set()
-        unsent = [letter for letter in self._queue if not letter.withdrawn]
+        unsent = [outbound for outbound in self._queue if not outbound.withdrawn]
         self._queue.clear()
         try:
             self._on_close(reason, unsent)
@@ -139,33 +139,33 @@
                 self._ready.wait()
 
     def _send_batch(self) -> None:
-        """Write what is queued, as much of it as one call takes; one call a letter costs too much."""
-        batch: list[Letter] = []
+        """Write what is queued, as much of it as one call takes; one call a outbound costs too much."""
+        batch: list[OutboundMessage] = []
         size = 0
-        for letter in self._queue:
-            if letter.withdrawn and letter.progress < Progress.PARTLY_SENT:
+        for outbound in self._queue:
+            if outbound.withdrawn and outbound.progress < Progress.PARTLY_SENT:
                 continue
-            if size and size + len(letter.data) > BATCH_BYTES:
+            if size and size + len(outbound.data) > BATCH_BYTES:
                 break
             # While the call may block, each of them may be under way: a withdrawal then comes too late.
-            letter.progress = Progress.PARTLY_SENT
-            batch.append(letter)
-            size += len(letter.data)
-        data = b"".join([letter.data for letter in batch])[self._sent_of_first :]
+            outbound.progress = Progress.PARTLY_SENT
+            batch.append(outbound)
+            size += len(outbound.data)
+        data = b"".join([outbound.data for outbound in batch])[self._sent_of_first :]
         sent = 0
         if data:
             # gevent's own third argument, which its types leave out: a Timeout costs more than the write.
             sent = self._sock.send(data, 0, WRITE_S)  # type: ignore[call-arg]
         rest, self._sent_of_first = self._sent_of_first + sent, 0
-        for letter in batch:
-            if rest >= len(letter.data):
-                letter.progress = Progress.SENT
-                letter.written()
-                rest -= len(letter.data)
+        for outbound in batch:
+            if rest >= len(outbound.data):
+                outbound.progress = Progress.SENT
+                outbound.written()
+                rest -= len(outbound.data)
             elif rest:
                 self._sent_of_first, rest = rest, 0
             else:
-                letter.progress = Progress.CONNECTING
+                outbound.progress = Progress.CONNECTING
         while self._queue and (self._queue[0].withdrawn or self._queue[0].progress is Progress.SENT):
             self._queued -= len(self._queue.popleft().data)
 
--- a/pearloom/sip/link.py
+++ b/pearloom/sip/link.py
@@ -9,7 +9,7 @@
 
 from gevent import socket
 
-from pearloom.core.connection import Connection, Letter
+from pearloom.core.connection import Connection, OutboundMessage
 from pearloom.core.errors import AttemptError, Malformed, Progress
 from pearloom.core.sides import SetUp
 from pearloom.interface import Ending
@@ -44,7 +44,7 @@
     )
 
 
-class SetUpLetter(Letter):
+class OutboundSetUp(OutboundMessage):
     """An INVITE; on its way or waiting for its answer."""
 
     __slots__ = ("_on_written", "link", "sent_ms", "set_up")
@@ -72,12 +72,12 @@
         self._inside_ms = math.inf  # since when a message has begun and is not whole
         self.opened_ms = self.heard_ms = now_ms
         self.mute_ms = math.inf  # since when a set-up was given up on it that it never said a word after
-        self.open: dict[str, SetUpLetter] = {}
+        self.open: dict[str, OutboundSetUp] = {}
         self.connection = Connection(sock, self._data, self._ended, self._closed)
 
-    def send(self, letter: Letter) -> None:
+    def send(self, outbound: OutboundMessage) -> None:
         """Queue a message."""
-        self.connection.send(letter)
+        self.connection.send(outbound)
 
     def watch(self, now_ms: float) -> None:
         """Guards against answers that break off or never end, and connections that nothing comes of."""
@@ -109,5 +109,5 @@
     def _ended(self) -> None:
         self.connection.close("closed by server")
 
-    def _closed(self, reason: str, unsent: list[Letter]) -> None:
+    def _closed(self, reason: str, unsent: list[OutboundMessage]) -> None:
         self._trunk.link_closed(self, reason, unsent)
--- a/pearloom/sip/trunk.py
+++ b/pearloom/sip/trunk.py
@@ -9,7 +9,7 @@
 from gevent import socket
 
 from pearloom.core.config import Server
-from pearloom.core.connection import Letter
+from pearloom.core.connection import OutboundMessage
 from pearloom.core.errors import AttemptError, Malformed, Progress
 from pearloom.core.exchange import CAUSE_NORMAL
 from pearloom.core.logs import note
@@ -20,7 +20,7 @@
 from pearloom.settings import read_report
 from pearloom.sip import codec as sip
 from pearloom.sip.dialling import Dialling
-from pearloom.sip.link import Link, SetUpLetter, refusal
+from pearloom.sip.link import Link, OutboundSetUp, refusal
 
 MUTE_FROM_MS = 100.0  # a set-up given up later than this, with no word on its connection since, tells of it
 QUIET_MS = 2500.0  # with calls standing, a server silent for so long gets a new connection
@@ -51,10 +51,10 @@
         self._dead = False  # while its connections are closed since it is dead
         self.dialling = False
         self._failed_dials = 0
-        self._waiting: list[Letter] = []
-        self._set_ups: dict[str, SetUpLetter] = {}
+        self._waiting: list[OutboundMessage] = []
+        self._set_ups: dict[str, OutboundSetUp] = {}
         self._given_up = Kept[tuple[str, int]](GIVEN_UP_KEPT_MS)  # call: number, CSeq
-        self._byes = Kept[Letter](BYE_KEPT_MS)
+        self._byes = Kept[OutboundMessage](BYE_KEPT_MS)
         self._heard_ms = side.clock.now_ms()  # the last sign of life
         self._owing_ms = self._heard_ms  # since when it owes anything
 
@@ -92,43 +92,47 @@
         data = sip.encode_request(
             "INVITE", offer.number, offer.call, set_up.attempt + 1, headers, offer.description
         )
-        letter = SetUpLetter(data, set_up, self._exchange.forwarded)
+        outbound = OutboundSetUp(data, set_up, self._exchange.forwarded)
         if not self._owing:
             self._owing_ms = self._side.clock.now_ms()
-        self._set_ups[offer.call] = letter
-        self._send(letter)
+        self._set_ups[offer.call] = outbound
+        self._send(outbound)
 
     def give_up(self, call: str) -> Progress:
         """Forget an INVITE; if any of it has left, a CANCEL follows."""
-        letter = self._set_ups.pop(call, None)
-        if letter is None:
+        outbound = self._set_ups.pop(call, None)
+        if outbound is None:
             return Progress.NOT_DIALLED
-        if letter.link is not None:
-            letter.link.open.pop(call, None)
-        if letter.progress < Progress.PARTLY_SENT:
-            letter.withdrawn = True
-        elif letter.link is not None:
+        if outbound.link is not None:
+            outbound.link.open.pop(call, None)
+        if outbound.progress < Progress.PARTLY_SENT:
+            outbound.withdrawn = True
+        elif outbound.link is not None:
             self._side.counters.add("cancels_out")
-            now, offer, sequence = self.now_ms, letter.set_up.offer, letter.set_up.attempt + 1
-            letter.link.send(Letter(sip.encode_request("CANCEL", offer.number, call, sequence, {})))
-            if letter.link.heard_ms <= letter.sent_ms < now - MUTE_FROM_MS:
-                letter.link.mute_ms = min(letter.link.mute_ms, now)
+            now, offer, sequence = self.now_ms, outbound.set_up.offer, outbound.set_up.attempt + 1
+            outbound.link.send(
+                OutboundMessage(sip.encode_request("CANCEL", offer.number, call, sequence, {}))
+            )
+            if outbound.link.heard_ms <= outbound.sent_ms < now - MUTE_FROM_MS:
+                outbound.link.mute_ms = min(outbound.link.mute_ms, now)
                 self._hand_shakes.broke(now)
             self._given_up.put(call, (offer.number, sequence), now)
-        return letter.progress
+        return outbound.progress
 
     def withdraw_unsent(self) -> None:
         """End what has not begun to leave."""
-        for letter in [one for one in self._set_ups.values() if one.progress < Progress.PARTLY_SENT]:
-            letter.withdrawn = True
-            self._failed(letter, AttemptError(Progress.NOT_DIALLED, "server not ready"))
+        for outbound in [one for one in self._set_ups.values() if one.progress < Progress.PARTLY_SENT]:
+            outbound.withdrawn = True
+            self._failed(outbound, AttemptError(Progress.NOT_DIALLED, "server not ready"))
 
     def release(self, call: str, number: str, cause: int) -> None:
         """Send a BYE."""
         self._side.counters.add("byes_out")
-        letter = Letter(sip.encode_request("BYE", number, call, 2, {"Reason": f"Q.850;cause={cause}"}), call)
-        self._byes.put(call, letter, self.now_ms)
-        self._send(letter)
+        outbound = OutboundMessage(
+            sip.encode_request("BYE", number, call, 2, {"Reason": f"Q.850;cause={cause}"}), call
+        )
+        self._byes.put(call, outbound, self.now_ms)
+        self._send(outbound)
 
     def update(self, server: Server) -> None:
         """The list says something new of this server."""
@@ -143,22 +147,22 @@
             self.watch()
 
     # --- connections ----------------------------------------------------------------------------------------
-    def _send(self, letter: Letter) -> None:
+    def _send(self, outbound: OutboundMessage) -> None:
         """Guards against a connection that takes set-ups and says nothing, and so looks like a silent server:
         a mute one gets no further set-up until it speaks again."""
         speaking = [link for link in self._links if link.mute_ms == math.inf]
         best = min(speaking, key=lambda link: len(link.open), default=None)
         if best is None or self._hand_shakes.wants_another(len(best.open), self.now_ms):
             self._dial_another()
-        if best is None and not isinstance(letter, SetUpLetter):
+        if best is None and not isinstance(outbound, OutboundSetUp):
             best = next(reversed(self._links), None)
         if best is None:
-            self._waiting.append(letter)
+            self._waiting.append(outbound)
             return
-        if isinstance(letter, SetUpLetter):
-            letter.link, letter.sent_ms = best, self.now_ms
-            best.open[letter.call] = letter
-        best.send(letter)
+        if isinstance(outbound, OutboundSetUp):
+            outbound.link, outbound.sent_ms = best, self.now_ms
+            best.open[outbound.call] = outbound
+        best.send(outbound)
 
     def _dial_another(self) -> None:
         if len(self._links) >= MOST_LINKS:
@@ -180,8 +184,8 @@
 
     def _dial(self) -> None:
         self._side.counters.add("dials")
-        for letter in self._waiting:
-            letter.progress = Progress.CONNECTING
+        for outbound in self._waiting:
+            outbound.progress = Progress.CONNECTING
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.settimeout(self._dial_timeout_s)
         try:
@@ -199,20 +203,20 @@
         self._links.append(link)
         link.connection.start()
         waiting, self._waiting = self._waiting, []
-        for letter in waiting:
-            if not letter.withdrawn:
-                self._send(letter)
+        for outbound in waiting:
+            if not outbound.withdrawn:
+                self._send(outbound)
 
     def _dial_failed(self, refused: bool, reason: str) -> None:
         note(logging.INFO, "dial_failed", server=self.name, refused=refused, reason=reason)
         self._failed_dials += 1
         waiting, self._waiting = self._waiting, []
-        for letter in waiting:
-            if isinstance(letter, SetUpLetter):
-                if not letter.withdrawn:
-                    self._failed(letter, AttemptError(Progress.CONNECTING, reason))
+        for outbound in waiting:
+            if isinstance(outbound, OutboundSetUp):
+                if not outbound.withdrawn:
+                    self._failed(outbound, AttemptError(Progress.CONNECTING, reason))
             else:
-                self._waiting.append(letter)
+                self._waiting.append(outbound)
         if refused and self._links and not self.ready:
             # Guards against cutting calls of a server that drains: it takes no new connection, but those that
             # are open go on. The refusal is a sign of life of its machine.
@@ -233,7 +237,7 @@
 
     def _lost(self, reason: str) -> None:
         """The server is dead, cut off, or not the one that it was."""
-        self._waiting = [letter for letter in self._waiting if isinstance(letter, SetUpLetter)]
+        self._waiting = [outbound for outbound in self._waiting if isinstance(outbound, OutboundSetUp)]
         self._byes.clear()
         self._exchange.server_lost(self.name, self._side.clock.now_ms() + 1, reason)
         self._dead = True
@@ -249,7 +253,7 @@
         for link in list(self._links):
             link.connection.finish()
 
-    def link_closed(self, link: Link, reason: str, unsent: list[Letter]) -> None:
+    def link_closed(self, link: Link, reason: str, unsent: list[OutboundMessage]) -> None:
         """A connection is over: so are the set-ups on it, but not the calls that stand."""
         if link in self._links:
             self._links.remove(link)
@@ -267,8 +271,8 @@
             self._failed(set_up, AttemptError(set_up.progress, reason, line_only=not self._dead))
         again = self._byes.young(self.now_ms)
         if self._links:
-            for letter in again:
-                self._send(letter)
+            for outbound in again:
+                self._send(outbound)
             if self._exchange.standing_at(self.name) and not self._dead:
                 # Guards against a release that was written to the connection that ended: the server sends it
                 # again on the next one that is opened.
@@ -276,7 +280,7 @@
                 if pause_ms is not None:
                     self._side.exchange.after_ms(pause_ms, self._dial_after_close)
             return
-        self._waiting += [letter for letter in again if letter not in self._waiting]
+        self._waiting += [outbound for outbound in again if outbound not in self._waiting]
         if self._exchange.standing_at(self.name) or self._waiting:
             if not self.ready and self._side.address_taken(self):
                 # Guards against taking the process that now has this address for the one that had the calls.
@@ -325,7 +329,7 @@
         if "x-circuits" in message.headers:
             self._report(message.headers["x-circuits"])
         if isinstance(message, sip.Request) and message.method == "OPTIONS":
-            link.send(Letter(sip.encode_response(message, 200, "OK")))
+            link.send(OutboundMessage(sip.encode_response(message, 200, "OK")))
         elif isinstance(message, sip.Request) and message.method == "NOTIFY":
             pass  # all that it tells is in its X-Circuits, and it wants no answer
         elif call is None:
@@ -333,7 +337,7 @@
         elif isinstance(message, sip.Response):
             self._response(link, call, message)
         elif message.method == "BYE":
-            link.send(Letter(sip.encode_response(message, 200, "OK")))
+            link.send(OutboundMessage(sip.encode_response(message, 200, "OK")))
             cause = sip.reason_cause(message)
             self._released(call, CAUSE_NORMAL if cause is None else cause)
         elif message.method != "ACK":
@@ -349,9 +353,9 @@
             self._exchange.reported(self.name, report)
 
     def _released(self, call: str, cause: int) -> None:
-        letter = self._set_ups.get(call)
-        if letter is not None:
-            self._failed(letter, AttemptError(Progress.ANSWERED, "released", Ending.RESET))
+        outbound = self._set_ups.get(call)
+        if outbound is not None:
+            self._failed(outbound, AttemptError(Progress.ANSWERED, "released", Ending.RESET))
         else:
             self._exchange.released(self.name, call, cause)
 
@@ -360,13 +364,13 @@
             self._byes.pop(call)
         if response.method != "INVITE" or response.status < 200:
             return
-        letter = self._set_ups.get(call)
-        if letter is not None and letter.link is not link:
+        outbound = self._set_ups.get(call)
+        if outbound is not None and outbound.link is not link:
             # Guards against what comes late of an attempt before this one.
             note(logging.INFO, "server_late_answer", server=self.name, call=call, status=response.status)
             return
-        if letter is not None:
-            number, sequence = letter.set_up.offer.number, letter.set_up.attempt + 1
+        if outbound is not None:
+            number, sequence = outbound.set_up.offer.number, outbound.set_up.attempt + 1
         elif (given_up := self._given_up.pop(call)) is not None:
             number, sequence = given_up
         elif self._exchange.is_open(call) or self._exchange.is_over(call):
@@ -376,24 +380,24 @@
             self._side.counters.add("unknown_from_servers")
             note(logging.WARNING, "server_unknown_call", server=self.name, call=call, status=response.status)
             return
-        link.send(Letter(sip.encode_request("ACK", number, call, sequence, {})))
+        link.send(OutboundMessage(sip.encode_request("ACK", number, call, sequence, {})))
         if response.status >= 300:
-            if letter is not None:
-                self._failed(letter, refusal(response.status, response.headers.get("x-why", "")))
+            if outbound is not None:
+                self._failed(outbound, refusal(response.status, response.headers.get("x-why", "")))
             return
-        if letter is not None:
+        if outbound is not None:
             del self._set_ups[call]
             link.open.pop(call, None)
-            letter.progress = Progress.ANSWERED
-            if self._exchange.stands(call, letter.set_up.attempt, response.body):
+            outbound.progress = Progress.ANSWERED
+            if self._exchange.stands(call, outbound.set_up.attempt, response.body):
                 return
         if not self._exchange.stands_at(self.name, call):
             # Guards against an answer that crossed a CANCEL: without a BYE the call would stand for nobody.
             self.release(call, number, CAUSE_NORMAL)
 
-    def _failed(self, letter: SetUpLetter, error: AttemptError) -> None:
-        if self._set_ups.get(letter.call) is letter:
-            del self._set_ups[letter.call]
-            if letter.link is not None:
-                letter.link.open.pop(letter.call, None)
-            self._exchange.attempt_ended(letter.call, letter.set_up.attempt, error)
+    def _failed(self, outbound: OutboundSetUp, error: AttemptError) -> None:
+        if self._set_ups.get(outbound.call) is outbound:
+            del self._set_ups[outbound.call]
+            if outbound.link is not None:
+                outbound.link.open.pop(outbound.call, None)
+            self._exchange.attempt_ended(outbound.call, outbound.set_up.attempt, error)
--- a/tests/test_connection.py
+++ b/tests/test_connection.py
@@ -5,7 +5,7 @@
 import gevent
 from gevent import socket
 
-from pearloom.core.connection import MOST_QUEUED, Connection, Letter
+from pearloom.core.connection import MOST_QUEUED, Connection, OutboundMessage
 from pearloom.core.errors import Progress
 
 
@@ -26,42 +26,42 @@
         self.connection = Connection(near, lambda data: None, lambda: None, self.over)
         self.connection.start()
 
-    def over(self, reason: str, unsent: list[Letter]) -> None:
+    def over(self, reason: str, unsent: list[OutboundMessage]) -> None:
         self.closed.append((reason, len(unsent)))
 
 
 def test_a_reader_that_is_too_slow_is_cut_off_alone() -> None:
     slow, other = Pair(), Pair()
     for _ in range(MOST_QUEUED // 8000 + 2):
-        slow.connection.send(Letter(b"x" * 8000))
+        slow.connection.send(OutboundMessage(b"x" * 8000))
     assert [reason for reason, _ in slow.closed] == ["reader too slow"]
-    other.connection.send(Letter(b"answer"))
+    other.connection.send(OutboundMessage(b"answer"))
     with gevent.Timeout(5):
         assert other.far.recv(100) == b"answer"
 
 
 def test_letters_taken_in_parts_arrive_whole_and_in_order() -> None:
     pair = Pair()
-    letters = [Letter(bytes([number]) * 3000) for number in range(30)]
-    for letter in letters:
-        pair.connection.send(letter)
+    messages = [OutboundMessage(bytes([number]) * 3000) for number in range(30)]
+    for outbound in messages:
+        pair.connection.send(outbound)
     gevent.sleep(0.01)
-    assert letters[0].progress is Progress.SENT and letters[-1].progress < Progress.SENT
+    assert messages[0].progress is Progress.SENT and messages[-1].progress < Progress.SENT
     got = b""
     with gevent.Timeout(5):
         while len(got) < 90_000:
             got += pair.far.recv(5000)
     gevent.sleep(0.01)
-    assert got == b"".join(letter.data for letter in letters)
-    assert {letter.progress for letter in letters} == {Progress.SENT}
+    assert got == b"".join(outbound.data for outbound in messages)
+    assert {outbound.progress for outbound in messages} == {Progress.SENT}
 
 
 def test_a_withdrawn_letter_never_leaves() -> None:
     pair = Pair()
-    letters = [Letter(b"a"), Letter(b"b"), Letter(b"c")]
-    for letter in letters:
-        pair.connection.send(letter)
-    letters[1].withdrawn = True
+    messages = [OutboundMessage(b"a"), OutboundMessage(b"b"), OutboundMessage(b"c")]
+    for outbound in messages:
+        pair.connection.send(outbound)
+    messages[1].withdrawn = True
     pair.connection.finish()
     with gevent.Timeout(5):
         assert b"".join(iter(lambda: pair.far.recv(10), b"")) == b"ac"
@@ -71,7 +71,7 @@
 def test_a_connection_with_something_to_write_or_to_read_is_busy() -> None:
     pair = Pair()
     assert not pair.connection.busy
-    pair.connection.send(Letter(b"answer"))
+    pair.connection.send(OutboundMessage(b"answer"))
     assert pair.connection.busy
     with gevent.Timeout(5):
         assert pair.far.recv(100) == b"answer"
