Begin no attempt for a caller that has left, wherever its set-up waited

Cause, from reading each place where control may pass between two lines: - A set-up that waited for a dial, for a gate or for the pause after doubt was sent without another look at its caller: after a FIN the call went on as that of a half-closed caller, and a close behind bytes that nobody had read was not seen at all. - A blocked write marked its whole batch as under way, and sent it on when the peer took bytes again: neither a give-up nor a drain could withdraw it. `send(..., WRITE_S)` did not bound the wait either, as gevent looks at that argument for zero alone. - A failed write closed the connection before the answer was read that came with the close. - `_dial` made its socket outside of its `try`: with no descriptor left the server was never dialled again, as `dialling` stayed true. A dial to an address that the list had replaced meanwhile was used all the same. - A stream of the coordinator that trickled bytes and completed no frame counted as alive. - After SIGTERM the process left with bytes of callers unread, and the system took further set-ups while the interpreter ended; before the handlers stood, SIGTERM gave exit code -15.

Change: the exchange is asked right before an attempt's first byte leaves (`may_send`); a caller's end of stream turns away what is not out yet, while the attempt at work may still answer a half-closed caller; writes are taken at once or not at all; dials end in a value; connections to servers leave descriptors for the coordinator, operators and callers; a whole frame is owed each 2.5 s; SIGTERM waits for callers to be quiet, then closes them. Nobody and Nothing are NullCaller, Heartbeat.

Ruled out: treating a half-close as a live caller for further attempts, as nothing tells it from a close; reading on in the middle of a write, as it would re-enter the reader.

--- a/pearloom/__main__.py
+++ b/pearloom/__main__.py
@@ -9,6 +9,7 @@
 import sys
 from collections.abc import Mapping
 from http import HTTPStatus
+from types import FrameType
 from typing import TYPE_CHECKING
 
 import gevent
@@ -16,7 +17,7 @@
 
 from pearloom import interface as api
 from pearloom.admin.handover import Handover, Legacy, ask, path_of
-from pearloom.admin.management import MOST_BYTES, Answer, Management, Routes
+from pearloom.admin.management import MOST_BYTES, Answer, Management, Routes, most_calls
 from pearloom.binary.callers import Callers
 from pearloom.core.clock import Clock
 from pearloom.core.config import Config, ConfigError, read_config
@@ -41,8 +42,10 @@
 STOP_LOOK_S = 0.05
 MOST_UPGRADE_DEADLINE_MS = 5000.0  # the same where another process has taken over
 BEGIN_S = 1.0  # at an upgrade: for the first connections to session servers, and word of the coordinator
+OWN_DESCRIPTORS = 16  # standard streams, listening sockets, the coordinator, the event loop, an upgrade
 GC_YOUNG = 20_000  # objects between collections: nearly all that a call leaves goes by its count
 LATE_MS = 250.0  # between two looks at the timers: worth a line, as callers wait for as long
+READ_FIRST_MS = 50.0  # after standing still for so long: half of what an attempt may begin after a close
 TICK_S = 0.0025  # timers are looked at so often: a wake-up for each of hundreds a second costs more
 
 
@@ -67,7 +70,9 @@
         self.callers = Callers(self.exchange, clock, self.counters, config)
         wait_ms, price = config.dial_timeout_ms, config.handshake_price
         makers: dict[str, Maker] = {SIP: lambda side, server: Trunk(side, server, wait_ms, price)}
-        self.servers = Directory(self.exchange, clock, self.counters, makers)
+        calls = most_calls(config.descriptors)
+        left = config.descriptors - self.callers.most - calls - OWN_DESCRIPTORS
+        self.servers = Directory(self.exchange, clock, self.counters, makers, left)
         sides: CallerSide = self.callers
         if installation is not None:
             sides = installation.join(self.exchange, clock, self.counters, self.callers, self.servers, makers)
@@ -128,9 +133,14 @@
         while True:
             self.exchange.run_due()
             gevent.sleep(TICK_S)
-            if (now := self._clock.now_ms()) - looked > LATE_MS:
-                note(logging.WARNING, "late", by_ms=now - looked)
-            looked = now
+            late_ms = self._clock.now_ms() - looked
+            if late_ms > LATE_MS:
+                note(logging.WARNING, "late", by_ms=late_ms)
+            if late_ms > READ_FIRST_MS:
+                # Guards against timers that act before what came meanwhile is read: closes of callers, the
+                # pool list, answers.
+                gevent.sleep(TICK_S)
+            looked = self._clock.now_ms()
 
     # --- what operators ask for -----------------------------------------------------------------------------
     def _readiness(self) -> Answer:
@@ -184,12 +194,15 @@
                 break
             if yielded and not self.exchange.open_calls + self.callers.connections:
                 break  # what stands is the other process's
-            if gone >= STILL_COMING_MS and not self.exchange.open_calls + self.exchange.standing_calls:
+            held = self.exchange.open_calls + self.exchange.standing_calls
+            if gone >= STILL_COMING_MS and not held and self.callers.is_quiet:
                 break
             if gone >= killed - ANSWER_EARLY_MS:
                 # Guards against set-ups that wait for longer than this process lives.
                 self.exchange.refuse_open()
             gevent.sleep(STOP_LOOK_S)
+        # Guards against set-ups that the system still takes while this process is on its way out.
+        self.callers.close()
         if self._installation is not None:
             self._installation.finish()
         self.handover.finish()
@@ -205,10 +218,16 @@
     return Installation(path, config)
 
 
+def _end_at_once(signum: int, frame: FrameType | None) -> None:
+    """End a process that has taken nothing yet; one that handed over to it goes on."""
+    os._exit(0)
+
+
 def main() -> int:
     """Run until SIGTERM."""
     configure()
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until there is something to reload
+    signal.signal(signal.SIGTERM, _end_at_once)  # until there is something to answer
     try:
         config = read_config(os.environ)
         folder = os.environ.get("TMPDIR", "")
--- a/pearloom/binary/callers.py
+++ b/pearloom/binary/callers.py
@@ -61,7 +61,7 @@
         self._rules = OfferRules(config)
         self._figure_bounds = {**_FIGURE_BOUNDS, "width": (1, config.most_width)}
         room_mb = max(config.memory_mb - BASE_MB, 1.0)
-        self._most = int(min(CONNECTIONS_SHARE * config.descriptors, room_mb / 2 / CONNECTION_MB))
+        self.most = int(min(CONNECTIONS_SHARE * config.descriptors, room_mb / 2 / CONNECTION_MB))
         self._connections: dict[CallerConnection, None] = {}
         self._talkers: OrderedDict[CallerConnection, None] = (
             OrderedDict()
@@ -119,6 +119,20 @@
         if self.listener is not None:
             self._accepting = gevent.spawn(self._accept, self.listener)
 
+    @property
+    def is_quiet(self) -> bool:
+        """Is nothing under way on any connection, and nothing left to read or write?"""
+        return not any(caller.is_busy for caller in self._connections)
+
+    def close(self) -> None:
+        """Take no connection any more and close all: the process is about to end."""
+        if self._accepting is not None:
+            self._accepting.kill()
+        if self.listener is not None:
+            self.listener.close()
+        for caller in list(self._connections):
+            caller.connection.close("stopped")
+
     def _empty(self) -> None:
         if not self._looks:
             self._looks = True
@@ -178,7 +192,7 @@
 
     def _make_room(self) -> bool:
         """Guards against running out of descriptors; where all have set-ups under way there is no room."""
-        if len(self._connections) < self._most - self.held_elsewhere:
+        if len(self._connections) < self.most - self.held_elsewhere:
             return True
         now = self.now_ms()
         kept = set(islice(reversed(self._talkers), TALKERS_KEPT))
@@ -190,14 +204,14 @@
         closed = 0
         # Guards against a crowd that all have something to read: to ask each of them costs too much.
         for (kind, _), _, caller in sorted(ranked)[:MOST_LOOKS]:
-            if closed >= max(EVICTED_SHARE * self._most, 1) or (closed and kind > 1):
+            if closed >= max(EVICTED_SHARE * self.most, 1) or (closed and kind > 1):
                 break
             if not caller.connection.busy:
                 closed += 1
                 self.counters.add("caller_connections_closed")
                 caller.connection.close("too many connections")
         if not closed:
-            note(logging.WARNING, "caller_connections_full", most=self._most)
+            note(logging.WARNING, "caller_connections_full", most=self.most)
         return closed > 0
 
     def _watch(self) -> None:
--- a/pearloom/binary/connection.py
+++ b/pearloom/binary/connection.py
@@ -55,6 +55,11 @@
         self.connection = Connection(sock, self._data, self._ended, self._closed, READ_BYTES)
 
     # --- exchange.Caller
+    @property
+    def is_there(self) -> bool:
+        """Is the caller's side of the connection open?"""
+        return not self.connection.peer_ended
+
     def stands(self, call: str, description: bytes) -> None:
         """Pass the answer on."""
         self.open.discard(call)
@@ -86,6 +91,11 @@
             self.unheard.popitem(last=False)
         self._send_release(call, cause)
 
+    @property
+    def is_busy(self) -> bool:
+        """Is a set-up open or half read, or anything left to read or write?"""
+        return bool(self.open) or self._decoder.inside or self.connection.busy
+
     def idle_reason(self, now_ms: float) -> str:
         """Why this connection may be closed, or nothing.
 
@@ -240,6 +250,8 @@
     def _ended(self) -> None:
         # Guards against losing set-ups of a caller that closed its sending half alone: they are answered.
         self._peer_ended = True
+        for call in list(self.open):
+            self._side.exchange.caller_ended(call)
         if not self.open:
             self.connection.finish()
 
--- a/pearloom/core/connection.py
+++ b/pearloom/core/connection.py
@@ -19,6 +19,8 @@
 MOST_QUEUED = 128 * 1024  # bytes: what a reader may be behind; 400 such connections still fit the memory
 BATCH_BYTES = 32 * 1024  # written by one call
 WRITE_S = 2.0  # a peer that takes nothing for this long is as good as gone
+LAST_READ_S = 0.05  # after a failed write: what the peer sent before its close is there by then
+_PEER_ENDED = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
 
 class OutboundMessage:
@@ -36,6 +38,12 @@
     def written(self) -> None:
         """Its last byte has left."""
 
+    def may_leave(self) -> bool:
+        """Asked right before the first byte is written: is this message still wanted?
+
+        A message that is not has been withdrawn by the time that this returns False."""
+        return True
+
 
 class Connection:
     """Owns a connected socket until either side ends it; exceptions stop here."""
@@ -113,7 +121,21 @@
     @property
     def busy(self) -> bool:
         """Is something still to be written, or has something come that was not read yet?"""
-        return bool(self._queue) or (not self.closed and bool(select.select([self._sock], [], [], 0)[0]))
+        return bool(self._queue) or (not self.closed and self._polled(select.POLLIN) != 0)
+
+    @property
+    def peer_ended(self) -> bool:
+        """Has the peer closed its side, or the connection broken, be it that nobody has read so far yet?
+
+        Guards against work for a peer whose close stands behind bytes that are still to be read."""
+        return self.closed or self._polled(select.POLLRDHUP) & _PEER_ENDED != 0
+
+    def _polled(self, events: int) -> int:
+        """What the system says of the socket at this moment; nothing is waited for."""
+        poll = select.poll()
+        poll.register(self._sock, events)
+        found = poll.poll(0)
+        return found[0][1] if found else 0
 
     def _read(self) -> None:
         while not self.closed and not self._finishing:
@@ -131,43 +153,75 @@
     def _write(self) -> None:
         while not self.closed:
             if self._queue:
-                self._send_batch()
+                try:
+                    self._send_batch()
+                except OSError as trouble:
+                    self._write_failed(trouble)
+                    return
             elif self._finishing:
                 self.close("done")
             else:
                 self._ready.clear()
                 self._ready.wait()
 
+    def _write_failed(self, trouble: OSError) -> None:
+        """The peer takes no more: close, but only after what it said before that has been read.
+
+        Guards against an answer that comes together with the close and is lost where a write fails first."""
+        gevent.sleep(LAST_READ_S)
+        self.close(_reason(trouble))
+
     def _send_batch(self) -> None:
-        """Write what is queued, as much of it as one call takes; one call a outbound costs too much."""
+        """Write what is queued, as much of it as one call takes; one call a message costs too much.
+
+        Guards against messages that are withdrawn while the peer takes nothing: the system is asked to take
+        bytes at once or not at all, and what leaves later is chosen anew."""
+        batch = self._next_batch()
+        data = b"".join([outbound.data for outbound in batch])[self._sent_of_first :]
+        if data:
+            try:
+                # gevent's own third argument, which its types leave out: do not wait.
+                sent = self._sock.send(data, 0, 0.0)  # type: ignore[call-arg]
+            except BlockingIOError:
+                self._await_writable()
+                return
+            self._mark_sent(batch, self._sent_of_first + sent)
+        while self._queue and (self._queue[0].withdrawn or self._queue[0].progress is Progress.SENT):
+            self._queued -= len(self._queue.popleft().data)
+
+    def _next_batch(self) -> list[OutboundMessage]:
+        """The first messages that are wanted; one of which bytes have left goes on in any case."""
         batch: list[OutboundMessage] = []
         size = 0
-        for outbound in self._queue:
-            if outbound.withdrawn and outbound.progress < Progress.PARTLY_SENT:
+        # A message that may not leave can take others of the queue with it, even this whole connection.
+        for outbound in list(self._queue):
+            begun = outbound.progress is Progress.PARTLY_SENT
+            outbound.withdrawn = not begun and (outbound.withdrawn or not outbound.may_leave())
+            if outbound.withdrawn:
                 continue
             if size and size + len(outbound.data) > BATCH_BYTES:
                 break
-            # While the call may block, each of them may be under way: a withdrawal then comes too late.
-            outbound.progress = Progress.PARTLY_SENT
             batch.append(outbound)
             size += len(outbound.data)
-        data = b"".join([outbound.data for outbound in batch])[self._sent_of_first :]
-        sent = 0
-        if data:
-            # gevent's own third argument, which its types leave out: a Timeout costs more than the write.
-            sent = self._sock.send(data, 0, WRITE_S)  # type: ignore[call-arg]
-        rest, self._sent_of_first = self._sent_of_first + sent, 0
+        return [outbound for outbound in batch if not outbound.withdrawn]
+
+    def _mark_sent(self, batch: list[OutboundMessage], sent: int) -> None:
+        """Note how far each message has come, of which so many bytes in all have left."""
+        self._sent_of_first = 0
         for outbound in batch:
-            if rest >= len(outbound.data):
+            if sent >= len(outbound.data):
                 outbound.progress = Progress.SENT
                 outbound.written()
-                rest -= len(outbound.data)
-            elif rest:
-                self._sent_of_first, rest = rest, 0
-            else:
-                outbound.progress = Progress.CONNECTING
-        while self._queue and (self._queue[0].withdrawn or self._queue[0].progress is Progress.SENT):
-            self._queued -= len(self._queue.popleft().data)
+                sent -= len(outbound.data)
+            elif sent:
+                outbound.progress = Progress.PARTLY_SENT
+                self._sent_of_first, sent = sent, 0
+
+    def _await_writable(self) -> None:
+        """Wait until the peer takes more; the wait ends with an error where this side closes meanwhile."""
+        with gevent.Timeout(WRITE_S, TimeoutError("the peer takes nothing")):
+            # What gevent's own `send` does; it offers no public call that a close from here ends safely.
+            self._sock._wait(self._sock._write_event)  # type: ignore[attr-defined]
 
 
 def accepted(listener: socket.socket, at: str) -> Iterator[socket.socket]:
--- a/pearloom/core/decider.py
+++ b/pearloom/core/decider.py
@@ -8,9 +8,25 @@
 from pearloom import interface as api
 from pearloom.core.clock import Clock
 from pearloom.core.logs import crashed
+from pearloom.core.routing import Way
+from pearloom.core.sides import Offer
 from pearloom.policy import Controller
 
 
+def arrival(offer: Offer, way: Way | None) -> api.CallArrived:
+    """A new set-up as the decision module hears of it; `way`: what the fleet's routing rules said of it."""
+    return api.CallArrived(
+        call=offer.call,
+        kind=offer.kind,
+        tenant=offer.tenant,
+        patience_us=round(offer.patience_ms * 1000),
+        first_choice=offer.first_choice,
+        was_cut=offer.was_cut,
+        number=offer.number,
+        route=way.route if way is not None else None,
+    )
+
+
 class Decider:
     """One controller; `act` gets each of its actions in turn."""
 
--- a/pearloom/core/exchange.py
+++ b/pearloom/core/exchange.py
@@ -12,14 +12,15 @@
 
 from pearloom import interface as api
 from pearloom.core.account import Account
+from pearloom.core.backlog import Backlog
 from pearloom.core.clock import Clock
 from pearloom.core.config import Server
 from pearloom.core.counters import Counters, Figures
-from pearloom.core.decider import Decider
+from pearloom.core.decider import Decider, arrival
 from pearloom.core.errors import AttemptError, Progress
 from pearloom.core.logs import note
 from pearloom.core.remembered import Remembered
-from pearloom.core.sides import Call, Caller, CallerSide, Media, Nobody, Offer, ServerSide, SetUp
+from pearloom.core.sides import Call, Caller, CallerSide, Media, NullCaller, Offer, ServerSide, SetUp
 from pearloom.core.standing import Standing
 from pearloom.core.timers import Timers
 from pearloom.interface import Ending
@@ -29,10 +30,6 @@
 CAUSE_CUT = 41
 REMEMBERED = 20_000  # calls of this life that are over, at most
 REMEMBERED_MS = 60_000.0  # for so long: a memory that grows all day is one that runs out
-OPEN_A_MB = (
-    80.0  # calls that may wait for their answer, for each MB that the program may use: a quarter of it
-)
-DESCRIBED_SHARE = 1 / 16  # of the memory: descriptions held for them, which the attempts hold once more
 FULL_STAY_AWAY_MS = 1000.0
 # Added to the module's wait after doubt: a release reaches a far server later than the next set-up reaches a
 # near one, so the wait must hold at the servers too.
@@ -63,10 +60,7 @@
         self._calls: dict[str, Call] = {}
         self._standing = Standing()
         self._over = Remembered(REMEMBERED, REMEMBERED_MS)
-        self._open = 0
-        self._most_open = int(OPEN_A_MB * memory_mb)
-        self._most_described = DESCRIBED_SHARE * memory_mb * 2**20
-        self._described = 0
+        self._backlog = Backlog(memory_mb)
         self._timers = Timers()
         self.open_elsewhere: set[str] = set()  # open at the other process of an upgrade
         self._callers: CallerSide
@@ -80,7 +74,7 @@
     @property
     def open_calls(self) -> int:
         """Calls that are owed an answer."""
-        return self._open
+        return self._backlog.count
 
     @property
     def standing_calls(self) -> int:
@@ -90,7 +84,7 @@
     def figures(self) -> str:
         """What operators read; a call is outstanding until it is over, not just until it stands."""
         return self._figures.text(
-            outstanding=self._open + self.standing_calls,
+            outstanding=self.open_calls + self.standing_calls,
             discovered=self._servers.discovered,
             ejected=self.decider.avoided,
         )
@@ -115,7 +109,7 @@
         """A call stands that the process before this one set up; False where it is known here."""
         if name in self._calls or name in self._over:
             return False
-        call = Call(Offer(name, -1, "", number, b"", 0.0, -1), Nobody(), server=server, stood_ms=stood_ms)
+        call = Call(Offer(name, -1, "", number, b"", 0.0, -1), NullCaller(), server=server, stood_ms=stood_ms)
         call.answered = call.stands = True
         self._calls[name] = call
         self._standing.put(call)
@@ -147,26 +141,14 @@
     def offered(self, offer: Offer, caller: Caller) -> None:
         """A new set-up."""
         self._counters.add("set_ups_in")
-        if self._open >= self._most_open or self._described + len(offer.description) > self._most_described:
-            # Guards against a flood that would cost this process its life.
+        # Guards also against set-ups behind a close that is not read yet: nothing would ever end them.
+        if not self._backlog.has_room(offer) or not caller.is_there:
             self._refuse_unseen(offer, caller)
             return
         way = self.account.way(offer)
         self._calls[offer.call] = Call(offer, caller, arrived_ms=self._clock.now_ms(), way=way)
-        self._open += 1
-        self._described += len(offer.description)
-        self._tell(
-            api.CallArrived(
-                call=offer.call,
-                kind=offer.kind,
-                tenant=offer.tenant,
-                patience_us=round(offer.patience_ms * 1000),
-                first_choice=offer.first_choice,
-                was_cut=offer.was_cut,
-                number=offer.number,
-                route=way.route if way is not None else None,
-            )
-        )
+        self._backlog.add(offer)
+        self._tell(arrival(offer, way))
 
     def refuse(self, offer: Offer, caller: Caller) -> None:
         """A new set-up that the callers' side has no room for; nothing is decided of the call."""
@@ -179,10 +161,39 @@
 
     def refuse_open(self) -> None:
         """Turn away every set-up that has no answer yet: this process is about to end."""
-        for name, call in [(name, call) for name, call in self._calls.items() if not call.answered]:
-            self.account.refused(call)
-            self._drop(name, call)
-            call.caller.refused(name, FULL_STAY_AWAY_MS)
+        for call in [call for call in self._calls.values() if not call.answered]:
+            self._turn_away(call)
+
+    def caller_ended(self, name: str) -> None:
+        """The caller of a set-up sends no more: the attempt that is out may end, another does not begin.
+
+        A close and a half-close look alike here, and one that has closed must cost no server any work."""
+        call = self._calls.get(name)
+        if call is not None and not call.answered and call.current < 0:
+            self._turn_away(call)
+
+    def may_send(self, name: str, attempt: int) -> bool:
+        """Asked right before the first byte of an attempt leaves; the attempt is withdrawn where it may not.
+
+        Guards against attempts for callers that left, or whose time ran out, while the attempt waited for a
+        connection to come up or to take bytes, or while this process stood still."""
+        call = self._calls.get(name)
+        if call is None or call.answered or call.current != attempt:
+            return False
+        if self._clock.now_ms() >= call.sent_ms + call.timeout_ms:
+            self._give_up(call, Ending.TIMED_OUT)
+            return False
+        if not call.caller.is_there:
+            self._turn_away(call)
+            return False
+        return True
+
+    def _turn_away(self, call: Call) -> None:
+        """Refuse a set-up for a reason of which the decision module knows nothing."""
+        name = call.offer.call
+        self.account.refused(call)
+        self._drop(name, call)
+        call.caller.refused(name, FULL_STAY_AWAY_MS)
 
     def spoil(self, name: str) -> None:
         """Fail a set-up that its caller made unusable."""
@@ -318,8 +329,8 @@
                     call.caller.failed(name)
             case api.CancelAttempt(name, attempt):
                 call = self._calls.get(name)
-                if call is not None and call.current == attempt:
-                    self._give_up(call, Ending.CANCELLED)
+                if call is not None:
+                    self._give_up(call, Ending.CANCELLED, attempt)
             case api.Note(text):
                 note(logging.INFO, "decision_note", text=text)
             case _:
@@ -331,29 +342,25 @@
         attempt = call.attempts
         call.attempts += 1
         call.current, call.server, call.sent_ms = attempt, server, self._clock.now_ms()
-        timeout_ms = timeout_us / 1000.0
+        call.timeout_ms = timeout_us / 1000.0
         self._counters.add("attempts")
-        self.after_ms(timeout_ms, lambda: self._time_out(call, attempt))
-        self._servers.set_up(server, SetUp(call.offer, attempt, timeout_ms))
-
-    def _time_out(self, call: Call, attempt: int) -> None:
-        if call.current == attempt:
-            self._give_up(call, Ending.TIMED_OUT)
+        self.after_ms(call.timeout_ms, lambda: self._give_up(call, Ending.TIMED_OUT, attempt))
+        self._servers.set_up(server, SetUp(call.offer, attempt, call.timeout_ms))
 
     def _answered(self, name: str) -> Call | None:
         """The call that is answered with this, or None.
 
         Guards against a second final answer, and one after the caller gave up."""
-        call = self._calls.get(name)
-        if call is None or call.answered:
+        if (call := self._calls.get(name)) is None or call.answered:
             return None
         self._close(call)
         self._forget(call)
         return call
 
     # --- ends -----------------------------------------------------------------------------------------------
-    def _give_up(self, call: Call, ending: Ending) -> None:
-        if call.current < 0 or call.given_up is not None:
+    def _give_up(self, call: Call, ending: Ending, attempt: int | None = None) -> None:
+        """End the attempt that is out, if any; with a number, only that one."""
+        if call.current < 0 or call.given_up is not None or attempt not in (None, call.current):
             return
         progress = self._servers.give_up(call.server, call.offer.call)
         if progress is None:
@@ -381,9 +388,7 @@
     def _close(self, call: Call) -> None:
         """No answer is owed any more, nor is the description needed."""
         call.answered = True
-        self._open -= 1
-        self._described -= len(call.offer.description)
-        call.offer.description = b""
+        self._backlog.remove(call.offer)
 
     def _forget(self, call: Call) -> None:
         if call.answered and not call.stands and call.current < 0:
--- a/pearloom/core/sides.py
+++ b/pearloom/core/sides.py
@@ -63,6 +63,10 @@
 class Caller(Protocol):
     """Whoever brought a call and is owed its one final answer."""
 
+    @property
+    def is_there(self) -> bool:
+        """Is it still connected, as far as can be seen at this moment?"""
+
     def stands(self, call: str, description: bytes) -> None:
         """The call stands; pass the server's description on."""
 
@@ -76,9 +80,11 @@
         """The server's side says something in this standing call."""
 
 
-class Nobody:
+class NullCaller:
     """Stands for the caller of an inherited call: who brought it is not known here."""
 
+    is_there = True
+
     def stands(self, call: str, description: bytes) -> None:
         """Nobody is told."""
 
@@ -139,6 +145,7 @@
     server: str = ""
     arrived_ms: float = 0.0
     sent_ms: float = 0.0
+    timeout_ms: float = 0.0  # of the attempt that is out, from `sent_ms` on
     stood_ms: float = 0.0
     answered: bool = False  # the final answer was given, or none is owed
     stands: bool = False
--- a/pearloom/iax2/listener.py
+++ b/pearloom/iax2/listener.py
@@ -43,6 +43,11 @@
     codec = 0
 
     # --- exchange.Caller
+    @property
+    def is_there(self) -> bool:
+        """Has neither side hung up?"""
+        return not self.over
+
     def stands(self, call: str, description: bytes) -> None:
         """Pass the answer on."""
         self.front.answered(self, description)
--- a/pearloom/iax2/trunk.py
+++ b/pearloom/iax2/trunk.py
@@ -55,6 +55,7 @@
     """All that concerns one session server, by its id."""
 
     dialling = False  # there is nothing to dial
+    connections = 0  # legs share one socket
 
     def __init__(self, side: Directory, server: Server, secret: str, first_number: int) -> None:
         """Know the server; `first_number`, drawn anew at each start, keeps old legs' frames apart."""
--- a/pearloom/servers/coordinator.py
+++ b/pearloom/servers/coordinator.py
@@ -23,19 +23,20 @@
 from pearloom.servers.listing import Listing
 
 DIAL_S = 1.0
-SILENT_S = 2.5  # an empty frame comes each second; after this the connection is dead
+SILENT_S = 2.5  # an empty frame comes each second; with none whole for so long the connection is dead
 REDIAL_S = 0.1
 MOST_BYTES = 1 << 20
+READ_BYTES = 64 * 1024
 _FRAME = struct.Struct(">IQB")
 _LENGTH_BYTES = 4
 _RECORD = struct.Struct(">IIHBBBHIQ")
-_NOTHING, _WHOLE, _CHANGES = 0, 1, 2
+_HEARTBEAT, _WHOLE, _CHANGES = 0, 1, 2
 _STATES = (api.PoolState.READY, api.PoolState.DRAINING, api.PoolState.GONE)
 
 
 @dataclass(frozen=True, slots=True)
-class Nothing:
-    """Nothing new."""
+class Heartbeat:
+    """Nothing new: the stream is alive."""
 
 
 class Decoder:
@@ -46,10 +47,10 @@
         self._buffer = bytearray()
         self._zones = zones
 
-    def feed(self, data: bytes) -> list[ListUpdate | Nothing | Malformed]:
+    def feed(self, data: bytes) -> list[ListUpdate | Heartbeat | Malformed]:
         """Take bytes and return what they complete; nothing follows a fatal value."""
         self._buffer += data
-        found: list[ListUpdate | Nothing | Malformed] = []
+        found: list[ListUpdate | Heartbeat | Malformed] = []
         while len(self._buffer) >= _LENGTH_BYTES:
             length = int.from_bytes(self._buffer[:_LENGTH_BYTES], "big")
             if not _FRAME.size - _LENGTH_BYTES <= length <= MOST_BYTES:
@@ -63,10 +64,10 @@
         return found
 
 
-def _update(frame: bytes, zones: Sequence[str]) -> ListUpdate | Nothing | Malformed:
+def _update(frame: bytes, zones: Sequence[str]) -> ListUpdate | Heartbeat | Malformed:
     _, number, kind = _FRAME.unpack_from(frame)
-    if kind == _NOTHING:
-        return Nothing()
+    if kind == _HEARTBEAT:
+        return Heartbeat()
     records = frame[_FRAME.size :]
     if kind not in (_WHOLE, _CHANGES):
         return Malformed(f"frame kind {kind}", fatal=False)
@@ -93,6 +94,20 @@
     return tuple(server for server in servers.values() if server.entry.state is not api.PoolState.GONE)
 
 
+def _next_frames(sock: socket.socket, decoder: Decoder) -> list[ListUpdate | Heartbeat | Malformed]:
+    """Read until at least one frame is whole.
+
+    Guards against a stream that falls silent, be it in the middle of a frame or with a byte now and then: a
+    whole frame is owed each second."""
+    with gevent.Timeout(SILENT_S, TimeoutError("no whole frame")):
+        while True:
+            data = sock.recv(READ_BYTES)
+            if not data:
+                raise ConnectionError("closed")
+            if frames := decoder.feed(data):
+                return frames
+
+
 class Coordinator:
     """Follows the stream, over as many connections as it takes."""
 
@@ -147,18 +162,15 @@
             sock.settimeout(DIAL_S)
             sock.connect(self._address)
             sock.sendall(self.index.to_bytes(8, "big"))
-            sock.settimeout(SILENT_S)
+            sock.settimeout(None)
             decoder = Decoder(self._zones)
             while True:
-                data = sock.recv(64 * 1024)
-                if not data:
-                    raise ConnectionError("closed")
-                for update in decoder.feed(data):
+                for update in _next_frames(sock, decoder):
                     self.take(update)
         finally:
             sock.close()
 
-    def take(self, update: ListUpdate | Nothing | Malformed) -> None:
+    def take(self, update: ListUpdate | Heartbeat | Malformed) -> None:
         """One event; one that is known already changes nothing."""
         self.heard = True
         if isinstance(update, Malformed):
--- a/pearloom/servers/directory.py
+++ b/pearloom/servers/directory.py
@@ -36,6 +36,10 @@
     def dialling(self) -> bool:
         """Is a connection under way?"""
 
+    @property
+    def connections(self) -> int:
+        """How many descriptors it holds."""
+
     def dial(self) -> None:
         """Open a connection, where the protocol has such."""
 
@@ -74,9 +78,17 @@
     """All trunks; the exchange's server side."""
 
     def __init__(
-        self, exchange: Exchange, clock: Clock, counters: Counters, makers: Mapping[str, Maker]
+        self,
+        exchange: Exchange,
+        clock: Clock,
+        counters: Counters,
+        makers: Mapping[str, Maker],
+        most_connections: int,
     ) -> None:
-        """Know no server yet; `makers` has what makes a trunk for each protocol."""
+        """Know no server yet; `makers` has what makes a trunk for each protocol.
+
+        Beyond `most_connections` in all, a server that has a connection gets no second one."""
+        self._most_connections = most_connections
         self.exchange = exchange
         self.clock = clock
         self.counters = counters
@@ -99,6 +111,13 @@
             crashed("watch_failed")
         self.exchange.after_ms(WATCH_MS, self._watch)
 
+    @property
+    def may_open_another(self) -> bool:
+        """Are there descriptors for more than the first connection to each server?
+
+        Guards against many connections to servers that leave none for coordinator, operators and callers."""
+        return sum(trunk.connections for trunk in self._trunks.values()) < self._most_connections
+
     def address_taken(self, trunk: Trunk) -> bool:
         """Is a ready server of another id listed at this trunk's address?"""
         return any(
--- a/pearloom/sip/link.py
+++ b/pearloom/sip/link.py
@@ -47,16 +47,27 @@
 class OutboundSetUp(OutboundMessage):
     """An INVITE; on its way or waiting for its answer."""
 
-    __slots__ = ("_on_written", "link", "sent_ms", "set_up")
-
-    def __init__(self, data: bytes, set_up: SetUp, on_written: Callable[[], None]) -> None:
-        """`on_written` is called once its last byte has left."""
+    __slots__ = ("_may_send", "_on_written", "link", "sent_ms", "set_up")
+
+    def __init__(
+        self,
+        data: bytes,
+        set_up: SetUp,
+        may_send: Callable[[str, int], bool],
+        on_written: Callable[[], None],
+    ) -> None:
+        """`may_send` is asked before its first byte leaves, `on_written` called once its last one has."""
         super().__init__(data, set_up.offer.call)
         self.set_up = set_up
         self.link: Link | None = None
         self.sent_ms = 0.0  # when it was given to its connection
+        self._may_send = may_send
         self._on_written = on_written
 
+    def may_leave(self) -> bool:
+        """Is the call still there, and its caller?"""
+        return self._may_send(self.call, self.set_up.attempt)
+
     def written(self) -> None:
         """Its last byte has left."""
         self._on_written()
--- a/pearloom/sip/trunk.py
+++ b/pearloom/sip/trunk.py
@@ -6,7 +6,6 @@
 import math
 
 import gevent
-from gevent import socket
 
 from pearloom.core.config import Server
 from pearloom.core.connection import OutboundMessage
@@ -19,15 +18,14 @@
 from pearloom.servers.directory import Directory
 from pearloom.settings import read_report
 from pearloom.sip import codec as sip
+from pearloom.sip import requests
+from pearloom.sip.connecting import DialEnd, DialFailure, connect
 from pearloom.sip.dialling import Dialling
 from pearloom.sip.link import Link, OutboundSetUp, refusal
+from pearloom.sip.liveness import QUIET_MS, Liveness
+from pearloom.sip.requests import sequence_of
 
 MUTE_FROM_MS = 100.0  # a set-up given up later than this, with no word on its connection since, tells of it
-QUIET_MS = 2500.0  # with calls standing, a server silent for so long gets a new connection
-DEAD_DIALS = 2  # dials in a row that never came up: with LOST_MS, what stands there is given up
-# A machine that is cut off keeps its calls, and the end of those of a dead one is owed within 8 s: as late as
-# that allows, with 0.75 s for a dial.
-LOST_MS = 6500.0
 REDIAL_MS = 250.0  # pause between dials while calls stand at a server
 BYE_KEPT_MS = 5000.0  # a BYE whose connection ends within this time, unanswered, is sent again
 MOST_LINKS = 8  # connections to one server: what one of them breaks is an eighth of what is open
@@ -50,13 +48,11 @@
         self._links: list[Link] = []
         self._dead = False  # while its connections are closed since it is dead
         self.dialling = False
-        self._failed_dials = 0
         self._waiting: list[OutboundMessage] = []
         self._set_ups: dict[str, OutboundSetUp] = {}
         self._given_up = Kept[tuple[str, int]](GIVEN_UP_KEPT_MS)  # call: number, CSeq
         self._byes = Kept[OutboundMessage](BYE_KEPT_MS)
-        self._heard_ms = side.clock.now_ms()  # the last sign of life
-        self._owing_ms = self._heard_ms  # since when it owes anything
+        self._liveness = Liveness(side.clock.now_ms())
 
     @property
     def ready(self) -> bool:
@@ -74,28 +70,24 @@
         busy = self._owing or self.dialling or self._waiting
         return self.server.entry.state is PoolState.GONE and not busy
 
+    @property
+    def connections(self) -> int:
+        """How many it holds, the one under way included."""
+        return len(self._links) + self.dialling
+
     @property
     def now_ms(self) -> float:
         """The time."""
         return self._side.clock.now_ms()
 
-    @property
-    def _quiet_ms(self) -> float:
-        """For how long it has owed something and said nothing."""
-        return self._side.clock.now_ms() - max(self._heard_ms, self._owing_ms)
-
     # --- what the exchange asks for -------------------------------------------------------------------------
     def set_up(self, set_up: SetUp) -> None:
         """Send an INVITE."""
-        offer = set_up.offer
-        headers = {"X-Call-Class": offer.class_name, "X-Ring-Limit": str(max(int(set_up.ring_ms), 1))}
-        data = sip.encode_request(
-            "INVITE", offer.number, offer.call, set_up.attempt + 1, headers, offer.description
-        )
-        outbound = OutboundSetUp(data, set_up, self._exchange.forwarded)
+        exchange = self._exchange
+        outbound = OutboundSetUp(requests.invite(set_up), set_up, exchange.may_send, exchange.forwarded)
         if not self._owing:
-            self._owing_ms = self._side.clock.now_ms()
-        self._set_ups[offer.call] = outbound
+            self._liveness.owes_from(self.now_ms)
+        self._set_ups[outbound.call] = outbound
         self._send(outbound)
 
     def give_up(self, call: str) -> Progress:
@@ -109,14 +101,12 @@
             outbound.withdrawn = True
         elif outbound.link is not None:
             self._side.counters.add("cancels_out")
-            now, offer, sequence = self.now_ms, outbound.set_up.offer, outbound.set_up.attempt + 1
-            outbound.link.send(
-                OutboundMessage(sip.encode_request("CANCEL", offer.number, call, sequence, {}))
-            )
+            now = self.now_ms
+            outbound.link.send(OutboundMessage(requests.cancel(outbound.set_up)))
             if outbound.link.heard_ms <= outbound.sent_ms < now - MUTE_FROM_MS:
                 outbound.link.mute_ms = min(outbound.link.mute_ms, now)
                 self._hand_shakes.broke(now)
-            self._given_up.put(call, (offer.number, sequence), now)
+            self._given_up.put(call, (outbound.set_up.offer.number, sequence_of(outbound.set_up)), now)
         return outbound.progress
 
     def withdraw_unsent(self) -> None:
@@ -128,9 +118,7 @@
     def release(self, call: str, number: str, cause: int) -> None:
         """Send a BYE."""
         self._side.counters.add("byes_out")
-        outbound = OutboundMessage(
-            sip.encode_request("BYE", number, call, 2, {"Reason": f"Q.850;cause={cause}"}), call
-        )
+        outbound = OutboundMessage(requests.bye(call, number, cause), call)
         self._byes.put(call, outbound, self.now_ms)
         self._send(outbound)
 
@@ -165,6 +153,8 @@
         best.send(outbound)
 
     def _dial_another(self) -> None:
+        if self._links and not self._side.may_open_another:
+            return
         if len(self._links) >= MOST_LINKS:
             mute = next((link for link in self._links if link.mute_ms < math.inf and not link.open), None)
             if mute is None:
@@ -186,20 +176,24 @@
         self._side.counters.add("dials")
         for outbound in self._waiting:
             outbound.progress = Progress.CONNECTING
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        sock.settimeout(self._dial_timeout_s)
+        address = self.server.address
+        dialled = connect(address, self._dial_timeout_s)
+        self.dialling = False
+        if isinstance(dialled, DialFailure):
+            self._dial_failed(dialled)
+            return
+        if address != self.server.address:
+            # Guards against set-ups for a process that has started elsewhere while the old address answered.
+            dialled.close()
+            self.dial()
+            return
         try:
-            sock.connect(self.server.address)
-            sock.settimeout(None)
-            link = Link(self, sock, self._side.clock.now_ms())
-        except OSError as trouble:
-            sock.close()
-            self.dialling = False
-            self._dial_failed(isinstance(trouble, ConnectionRefusedError), str(trouble))
+            link = Link(self, dialled, self._side.clock.now_ms())
+        except OSError as trouble:  # reset before anything was said
+            dialled.close()
+            self._dial_failed(DialFailure(DialEnd.UNANSWERED, str(trouble)))
             return
-        self.dialling = False
-        self._failed_dials = 0
-        self._heard_ms = self._side.clock.now_ms()
+        self._liveness.dial_came_up(self.now_ms)
         self._links.append(link)
         link.connection.start()
         waiting, self._waiting = self._waiting, []
@@ -207,26 +201,28 @@
             if not outbound.withdrawn:
                 self._send(outbound)
 
-    def _dial_failed(self, refused: bool, reason: str) -> None:
-        note(logging.INFO, "dial_failed", server=self.name, refused=refused, reason=reason)
-        self._failed_dials += 1
+    def _dial_failed(self, failure: DialFailure) -> None:
+        refused = failure.end is DialEnd.REFUSED
+        note(logging.INFO, "dial_failed", server=self.name, refused=refused, reason=failure.reason)
+        if failure.end is not DialEnd.NOT_TRIED:
+            self._liveness.dial_failed()
         waiting, self._waiting = self._waiting, []
         for outbound in waiting:
             if isinstance(outbound, OutboundSetUp):
                 if not outbound.withdrawn:
-                    self._failed(outbound, AttemptError(Progress.CONNECTING, reason))
+                    self._failed(outbound, AttemptError(Progress.CONNECTING, failure.reason))
             else:
                 self._waiting.append(outbound)
         if refused and self._links and not self.ready:
             # Guards against cutting calls of a server that drains: it takes no new connection, but those that
             # are open go on. The refusal is a sign of life of its machine.
-            self._heard_ms = self._side.clock.now_ms()
+            self._liveness.heard(self.now_ms)
             return
         # With no connection left, a refused one proves that the process is not there; one that never comes up
         # may be a lost packet, so it takes two, and a silence.
         if refused and not self._links:
             self._lost("refused")
-        elif self._failed_dials >= DEAD_DIALS and self._quiet_ms >= LOST_MS:
+        elif self._liveness.is_dead(self.now_ms):
             self._lost("silent")
         elif self._exchange.standing_at(self.name) or self._waiting:
             self._side.exchange.after_ms(REDIAL_MS, self._redial)
@@ -305,9 +301,9 @@
             opened_ms = min((link.opened_ms for link in self._links), default=math.inf)
             self._exchange.server_lost(self.name, opened_ms, "gone" if is_gone else "replaced")
         heard_ms = max((link.heard_ms for link in self._links), default=0.0)
-        if is_gone and self._side.clock.now_ms() - heard_ms >= QUIET_MS:
+        if is_gone and self.now_ms - heard_ms >= QUIET_MS:
             self._lost("gone")
-        elif not is_gone and self._quiet_ms >= QUIET_MS:
+        elif not is_gone and self._liveness.is_quiet(self.now_ms):
             # Guards against a machine that vanished: its connections stay open and say nothing, and only a
             # new one, which never comes up, tells it from one whose processor hangs.
             unused = next((link for link in self._links if not link.open), None)
@@ -324,7 +320,8 @@
 
     def message(self, link: Link, message: sip.Request | sip.Response) -> None:
         """Take one message."""
-        self._heard_ms = link.heard_ms = self._side.clock.now_ms()
+        link.heard_ms = self.now_ms
+        self._liveness.heard(link.heard_ms)
         call = sip.call_of(message)
         if "x-circuits" in message.headers:
             self._report(message.headers["x-circuits"])
@@ -370,7 +367,7 @@
             note(logging.INFO, "server_late_answer", server=self.name, call=call, status=response.status)
             return
         if outbound is not None:
-            number, sequence = outbound.set_up.offer.number, outbound.set_up.attempt + 1
+            number, sequence = outbound.set_up.offer.number, sequence_of(outbound.set_up)
         elif (given_up := self._given_up.pop(call)) is not None:
             number, sequence = given_up
         elif self._exchange.is_open(call) or self._exchange.is_over(call):
@@ -380,7 +377,7 @@
             self._side.counters.add("unknown_from_servers")
             note(logging.WARNING, "server_unknown_call", server=self.name, call=call, status=response.status)
             return
-        link.send(OutboundMessage(sip.encode_request("ACK", number, call, sequence, {})))
+        link.send(OutboundMessage(requests.ack(call, number, sequence)))
         if response.status >= 300:
             if outbound is not None:
                 self._failed(outbound, refusal(response.status, response.headers.get("x-why", "")))
