--- a/tests/races/scene.py
+++ b/tests/races/scene.py
@@ -20,10 +20,10 @@
 RELEASE_MS = 365  # the settings' pause after doubt, with the margin and the step of time
 
 
-def set_up(call: str = CALL, first: int = 0, patience: int = 3000) -> str:
+def set_up(call: str = CALL, first: int = 0, kind: str = "open-form") -> str:
     """A set-up in the notation of recordings."""
     return (
-        f'(01 {call} 03("open-form") 06("{patience}") 0f("7f3a9c21e0b4d655") '
+        f'(01 {call} 03("{kind}") 06("3000") 0f("7f3a9c21e0b4d655") '
         f'12("dest:{first};width:1;via:-1") 30("sdp-c"))'
     )
 
