Show in simulated time that a whole fleet keeps under a cold server's budget

Need: the operators narrowed what chance allows at a cold server from 3 root N + 3 to 2 root N + 2, and ask for the distribution of the sum in every window. Ruled out: a bias of the rate that each process keeps: their sum is 0.9 to 1.2 of what the servers carry.

--- /dev/null
+++ b/pearloom/standins/cold_start.py
@@ -0,0 +1,181 @@
+"""A cold session server met by a whole fleet, in simulated time: what all processes send it together.
+
+The real decision module, one controller a process. Each sees its own calls alone: their shares of the load
+differ, some were restarted just now, and some are told of the start seconds late. Servers answer each set-up
+soon, or fail some, so that nothing but the module's own budget holds the fleet back.
+"""
+
+from __future__ import annotations
+
+import heapq
+import math
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+from random import Random
+
+from pearloom import interface as api
+from pearloom.policy import Controller
+
+COLD, REPLACED = "s-cold", "s-replaced"
+COLD_CELL = 0
+STARTS_US = 20_000_000  # when the cold server starts; before, the processes learn the rates of warm ones
+ANSWERS_US = 40_000
+REDIALS_US = 1_500_000  # after a refusal
+FAILED_SHARE = 0.1  # of set-ups at the cold server: they come again as further attempts
+
+
+@dataclass(frozen=True, slots=True)
+class Fleet:
+    """What a draw is made from; times in us."""
+
+    settings: api.Settings
+    processes: int
+    servers: int
+    per_s: float  # calls of one process on average
+    utilisation: float = 0.8  # of a warm server's capacity, at the mean load
+    spread: float = 0.8  # of a process's load, as the deviation of its logarithm
+    pressed: float = 0.5  # share of calls that name the cold server first
+    restarted: float = 0.3  # share of processes that start anew while the server is cold
+    told_late: float = 0.3  # share of processes that are told of the start seconds late
+
+
+@dataclass(order=True, slots=True)
+class _Due:
+    at: int
+    number: int
+    act: Callable[[], None] = field(compare=False)
+
+
+class _Run:
+    """One draw."""
+
+    def __init__(self, fleet: Fleet, seed: int) -> None:
+        self.fleet, self.random, self.seed = fleet, Random(seed), seed
+        self.now, self.count = 0, 0
+        self.due: list[_Due] = []
+        self.sent: list[int] = []  # when set-ups left for the cold server
+        self.controllers = [self.started(index) for index in range(fleet.processes)]
+        self.ends = STARTS_US + fleet.settings.warm_after_us
+
+    def started(self, index: int) -> Controller:
+        return Controller(self.fleet.settings, self.seed * 1000 + index + self.count)
+
+    def at(self, at: float, act: Callable[[], None]) -> None:
+        self.count += 1
+        heapq.heappush(self.due, _Due(int(at), self.count, act))
+
+    def play(self) -> list[int]:
+        for index in range(self.fleet.processes):
+            self._begin(index)
+        while self.due and self.due[0].at < self.ends:
+            due = heapq.heappop(self.due)
+            self.now = due.at
+            due.act()
+        return self.sent
+
+    def _begin(self, index: int) -> None:
+        fleet, random = self.fleet, self.random
+        self.tell(index, api.PoolList(api.ListKind.CACHED, self.listed(False)))
+        late = random.random() < fleet.told_late
+        told = STARTS_US + random.uniform(*((2.5e6, 7e6) if late else (0.3e6, 2.5e6)))
+        self.at(told, lambda: self.tell(index, api.PoolList(api.ListKind.CHANGES, self.replaced())))
+        if random.random() < fleet.restarted:
+            self.at(STARTS_US + random.uniform(-1e6, 10e6), lambda: self.restart(index, told))
+        rate = fleet.per_s * math.exp(random.gauss(-(fleet.spread**2) / 2, fleet.spread))
+        self.arrive(index, rate)
+
+    def listed(self, new: bool) -> tuple[api.PoolEntry, ...]:
+        ready = api.PoolState.READY
+        warm = [api.PoolEntry(f"s-{cell:04}", cell, ready) for cell in range(1, self.fleet.servers)]
+        return (*(self.replaced()[:1] if new else (api.PoolEntry(REPLACED, COLD_CELL, ready),)), *warm)
+
+    def replaced(self) -> tuple[api.PoolEntry, ...]:
+        cold = api.PoolEntry(COLD, COLD_CELL, api.PoolState.READY, STARTS_US)
+        return cold, api.PoolEntry(REPLACED, COLD_CELL, api.PoolState.GONE)
+
+    def restart(self, index: int, told: float) -> None:
+        self.controllers[index] = self.started(index)
+        self.tell(index, api.PoolList(api.ListKind.CACHED, self.listed(self.now >= told)))
+
+    def arrive(self, index: int, rate: float) -> None:
+        wait = self.random.expovariate(rate) * 1e6
+
+        def arrived() -> None:
+            self.offer(index)
+            self.arrive(index, rate)
+
+        self.at(self.now + wait, arrived)
+
+    def offer(self, index: int) -> None:
+        random, settings = self.random, self.fleet.settings
+        kind = random.randrange(len(settings.classes))
+        pressed = self.now >= STARTS_US and random.random() < self.fleet.pressed
+        first = COLD_CELL if pressed else random.randrange(self.fleet.servers)
+        self.count += 1
+        patience = settings.classes[kind].deadline_us // 3
+        self.tell(index, api.CallArrived(f"c{self.count}", kind, -1, patience, first))
+
+    def tell(self, index: int, event: api.Event) -> None:
+        controller = self.controllers[index]
+        for action in controller.handle(self.now, event):
+            self.carry_out(index, controller, action)
+
+    def carry_out(self, index: int, controller: Controller, action: api.Action) -> None:
+        def later(after_us: float, event: Callable[[], api.Event]) -> None:
+            def happen() -> None:
+                if self.controllers[index] is controller:  # not of a life that is over
+                    self.tell(index, event())
+
+            self.at(self.now + after_us, happen)
+
+        match action:
+            case api.SetTimer(after_us, token):
+                later(after_us, lambda: api.TimerDue(token))
+            case api.SendSetUp(call, server, _):
+                attempt = controller._calls[call].attempts - 1
+                fails = server == COLD and self.random.random() < FAILED_SHARE
+                if server == COLD:
+                    self.sent.append(self.now)
+                if fails:
+                    failed = api.AttemptEnded(call, attempt, server, api.Ending.FULL)
+                    later(ANSWERS_US, lambda: failed)
+                else:
+                    later(ANSWERS_US, lambda: api.CallStands(call, attempt, server, ANSWERS_US))
+            case api.Refuse():
+                self.at(self.now + REDIALS_US, lambda: self.offer(index))
+
+
+@dataclass(frozen=True, slots=True)
+class Window:
+    """One window of the stated length at the cold server: what came, and what it bears."""
+
+    begins_us: int  # after the start
+    sent: int
+    budget: float  # N: what the settings allow the server then
+    most: float  # with what chance is allowed
+
+    @property
+    def fill(self) -> float:
+        """How full the window was; above 1 the server falls."""
+        return self.sent / self.most
+
+
+def windows(fleet: Fleet, sent: list[int]) -> Iterator[Window]:
+    """Every window that begins with a set-up, judged by the capacity at its beginning.
+
+    A server's capacity is what its part of the load takes at that utilisation; it is told to nobody."""
+    settings = fleet.settings
+    capacity = fleet.per_s * fleet.processes / fleet.servers / fleet.utilisation
+    at, end = [one - STARTS_US for one in sent if one >= STARTS_US], 0
+    for begin, begins in enumerate(at):
+        while end < len(at) and at[end] < begins + settings.fall_us:
+            end += 1
+        risen = min(begins / settings.warm_after_us, 1.0)
+        share = settings.cold_share + (1 - settings.cold_share) * risen
+        budget = settings.fall_multiple * capacity * share * settings.fall_us / 1e6
+        yield Window(begins, end - begin, budget, budget + 2 * math.sqrt(budget) + 2)
+
+
+def play(fleet: Fleet, seed: int) -> list[Window]:
+    """One draw, window by window."""
+    return list(windows(fleet, _Run(fleet, seed).play()))
