Read what callers may be told from the settings, and refuse settings that can't be

Cause: `limits.retryAfter` and `limits.maxRetryAfterUs` were read nowhere: a refused caller was asked to stay away for one aim, or 1 s, whatever the site says. An infinite or too deep value, a zero limit, a name that stands twice, an unknown effect or pools for an unknown class ended in a traceback or were taken.

Change: Settings.stay_away_us bounds what is told, for the module, the exchange and IAX2; bad settings are one plain line and exit code 2.

The SIGTERM test's settings had pools for two classes and named one; it names its own now, its assertions are unchanged. Left: `limits.multiplex`, as PROTOCOL lets a connection carry many calls.

--- a/pearloom/binary/connection.py
+++ b/pearloom/binary/connection.py
@@ -13,7 +13,7 @@
 from pearloom.binary.isup import Cause, Code, Message, Type
 from pearloom.core.connection import Connection, OutboundMessage
 from pearloom.core.errors import Malformed
-from pearloom.core.exchange import FULL_STAY_AWAY_MS, Exchange
+from pearloom.core.exchange import Exchange
 from pearloom.core.logs import note
 from pearloom.core.sides import Media
 
@@ -220,7 +220,7 @@
         if message.call in exchange.open_elsewhere:
             # Guards against a second attempt of a set-up that the process before this one still has open.
             self._side.counters.add("open_elsewhere")
-            self.refused(message.call, FULL_STAY_AWAY_MS)
+            self.refused(message.call, exchange.stay_away_ms)
             return
         if exchange.is_open(message.call) or exchange.is_over(message.call):
             # Guards against an answer or a release that would be taken for that of another set-up.
--- a/pearloom/core/config.py
+++ b/pearloom/core/config.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import json
-from collections.abc import Mapping
+import math
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 from hashlib import sha256
 from pathlib import Path
@@ -93,6 +94,22 @@
     return ListUpdate(int(update["index"]), bool(listed["whole"]), servers)
 
 
+def _above_zero(name: str, value: object) -> float:
+    """A finite number above 0."""
+    number = float(str(value))
+    if not 0 < number < math.inf:
+        raise ConfigError(f"{name}: must be above 0, not {value}")
+    return number
+
+
+def _names(of: str, listed: Sequence[Mapping[str, Any]]) -> tuple[str, ...]:
+    """The names of classes or tenants, in order; none may be empty or stand twice."""
+    names = tuple(str(one["name"]) for one in listed)
+    if not all(names) or len(set(names)) < len(names):
+        raise ConfigError(f"{of}: each needs a name of its own, not {', '.join(names)}")
+    return names
+
+
 def read_config(environment: Mapping[str, str]) -> Config:
     """Read the environment and the file it names; a ConfigError says in one line what is unusable."""
     path = environment.get("BALANCER_CONFIG", "")
@@ -103,6 +120,7 @@
         params = flatten(told["settings"])
         known = told.get("known") or {}
         management = environment.get("BALANCER_MANAGEMENT") or str(told.get("management") or "")
+        limits = told.get("limits", {})
         updates = tuple(read_update(update) for update in known.get("updates", ()))
         return Config(
             name=environment.get("BALANCER_NAME") or str(told["name"]),
@@ -114,22 +132,23 @@
             known=updates,
             known_digest=sha256(json.dumps(known, sort_keys=True).encode()).hexdigest(),
             settings=read_settings(params),
-            class_names=tuple(str(service["name"]) for service in told["settings"]["services"]),
-            tenant_names=tuple(str(tenant["name"]) for tenant in told["settings"].get("tenants") or ()),
+            class_names=_names("services", told["settings"]["services"]),
+            tenant_names=_names("tenants", told["settings"].get("tenants") or ()),
             zone_names=tuple(str(zone) for zone in told["settings"].get("zones") or ()),
             most_width=max(
                 (int(width) for width in told["settings"].get("specifics", {}).get("channelsNeeded", ())),
                 default=1,
             ),
-            dial_timeout_ms=float(params.get("limits.dialTimeoutUs", 500_000)) / 1000.0,
+            dial_timeout_ms=_above_zero("limits.dialTimeoutUs", params.get("limits.dialTimeoutUs", 500_000))
+            / 1000.0,
             handshake_price=float(params.get("prices.handshake", 0.0)),
             round_ms=max(float(params.get("roundUs", 1000)) / 1000.0, 1.0),
-            descriptors=int(told.get("limits", {}).get("sockets", 1024)),
-            memory_mb=float(told.get("limits", {}).get("memory_mb", 192)),
+            descriptors=int(_above_zero("limits.sockets", limits.get("sockets", 1024))),
+            memory_mb=_above_zero("limits.memory_mb", limits.get("memory_mb", 192)),
         )
     except ConfigError:
         raise
     except KeyError as missing:
         raise ConfigError(f"{path}: {missing} is missing or unknown") from missing
-    except (OSError, ValueError, TypeError, AttributeError) as trouble:
+    except (OSError, ValueError, TypeError, AttributeError, OverflowError, RecursionError) as trouble:
         raise ConfigError(f"{path}: {trouble}") from trouble
--- a/pearloom/core/exchange.py
+++ b/pearloom/core/exchange.py
@@ -30,7 +30,7 @@
 CAUSE_CUT = 41
 REMEMBERED = 20_000  # calls of this life that are over, at most
 REMEMBERED_MS = 60_000.0  # for so long: a memory that grows all day is one that runs out
-FULL_STAY_AWAY_MS = 1000.0
+FULL_STAY_AWAY_US = 1_000_000
 # Added to the module's wait after doubt: a release reaches a far server later than the next set-up reaches a
 # near one, so the wait must hold at the servers too.
 RELEASE_MARGIN_US = 60_000
@@ -51,9 +51,8 @@
     ) -> None:
         """Start with no call and no list."""
         settings = replace(settings, release_us=settings.release_us + RELEASE_MARGIN_US)
-        self._clock = clock
-        self._counters = counters
-        self._figures = figures
+        self._clock, self._counters, self._figures = clock, counters, figures
+        self.stay_away_ms = settings.stay_away_us(FULL_STAY_AWAY_US) / 1000.0  # told where there is no room
         self.account = Account(clock, counters, figures, settings.classes)
         self.decider = Decider(clock, settings, seed, round_ms, self._act)
         self._tell = self.decider.tell
@@ -157,7 +156,7 @@
 
     def _refuse_unseen(self, offer: Offer, caller: Caller) -> None:
         self.account.unseen(offer)
-        caller.refused(offer.call, FULL_STAY_AWAY_MS)
+        caller.refused(offer.call, self.stay_away_ms)
 
     def refuse_open(self) -> None:
         """Turn away every set-up that has no answer yet: this process is about to end."""
@@ -193,7 +192,7 @@
         name = call.offer.call
         self.account.refused(call)
         self._drop(name, call)
-        call.caller.refused(name, FULL_STAY_AWAY_MS)
+        call.caller.refused(name, self.stay_away_ms)
 
     def spoil(self, name: str) -> None:
         """Fail a set-up that its caller made unusable."""
--- a/pearloom/iax2/listener.py
+++ b/pearloom/iax2/listener.py
@@ -11,7 +11,7 @@
 from pearloom.core.config import Address
 from pearloom.core.counters import Counters
 from pearloom.core.errors import Malformed
-from pearloom.core.exchange import FULL_STAY_AWAY_MS, Exchange
+from pearloom.core.exchange import Exchange
 from pearloom.core.logs import note
 from pearloom.core.offers import OfferRules
 from pearloom.core.sides import Caller, CallerSide, Media, Offer
@@ -198,7 +198,8 @@
             cause = CAUSE_REJECTED if secret is None else CAUSE_CONGESTION
             pairs = [(Element.CAUSECODE, bytes((cause,)))]
             if secret is not None:
-                pairs.append((Element.STAY_AWAY_MS, round(FULL_STAY_AWAY_MS).to_bytes(4, "big")))
+                stay_away_ms = round(self._exchange.stay_away_ms)
+                pairs.append((Element.STAY_AWAY_MS, stay_away_ms.to_bytes(4, "big")))
             self._port.send(answer_without_leg(frame, Iax.REJECT, Elements(pairs).encode()), source)
             return
         leg = CallerLeg(number, frame, elements, secret or "", secrets.token_hex(8), now)
@@ -254,7 +255,7 @@
             self.turned_away(leg, CAUSE_INVALID, "an id that was used before", 0.0)
         elif offer.call in exchange.open_elsewhere:
             self._counters.add("open_elsewhere")
-            leg.refused(offer.call, FULL_STAY_AWAY_MS)
+            leg.refused(offer.call, exchange.stay_away_ms)
         elif self._refuses():
             # Guards against callers that stay through a drain and so keep it from its end.
             exchange.refuse(offer, leg)
--- a/pearloom/interface.py
+++ b/pearloom/interface.py
@@ -79,6 +79,7 @@
     may_cancel: bool = False
     must_ask: bool = False
     marks_redials: bool = False
+    most_stay_away_us: int | None = None  # None: no bound; 0: refused callers are told nothing
 
     def __post_init__(self) -> None:
         """Refuse settings that make no sense, naming the field."""
@@ -102,6 +103,10 @@
             if not tenant.fraction >= 0:
                 raise ValueError(f"tenants[{number}]: fraction must not be negative")
 
+    def stay_away_us(self, wanted_us: int) -> int:
+        """How long a refused caller is asked to stay away, where `wanted_us` would be best; 0: not at all."""
+        return wanted_us if self.most_stay_away_us is None else min(wanted_us, self.most_stay_away_us)
+
 
 @dataclass(frozen=True, slots=True)
 class PoolEntry:
--- a/pearloom/policy.py
+++ b/pearloom/policy.py
@@ -659,7 +659,8 @@
             self._unserved[call.number, call.kind] = call.wanted_since
         if refuse and not call.sealed:
             # Guards against redials that press shut gates; told at once, not by holding the answer back.
-            self._actions.append(api.Refuse(call.name, int(STAY_AWAY * self._aim)))
+            wait = self._settings.stay_away_us(int(STAY_AWAY * self._aim))
+            self._actions.append(api.Refuse(call.name, wait))
         else:
             self._actions.append(api.Fail(call.name))
         self._forget(call)
--- a/pearloom/settings.py
+++ b/pearloom/settings.py
@@ -9,6 +9,7 @@
 from pearloom import interface as api
 
 Params = dict[str, str]
+_EFFECTS = ("free", "guarded", "single_shot")
 _REPORT_NAMES = {
     "idle": "free_lines",
     "circuits": "lines",
@@ -58,10 +59,32 @@
     return tuple(int(cell) for cell in text.split(",") if cell not in ("", "-", "none"))
 
 
+def _most_stay_away_us(params: Params) -> int | None:
+    """How long a refused caller may be asked to stay away: 0 where the site tells callers nothing."""
+    if not _flag(params, "limits.retryAfter"):
+        return 0
+    return _integer(params, "limits.maxRetryAfterUs") if "limits.maxRetryAfterUs" in params else None
+
+
+def _check_classes(params: Params) -> int:
+    """How many classes there are; a ValueError names what does not fit them."""
+    count = _integer(params, "services.count")
+    pools = _integer(params, "specifics.skilledPools.count")
+    if pools > count:
+        raise ValueError(f"specifics.skilledPools: {pools} lists for {count} classes, so one is unknown")
+    for number in range(count):
+        effect = params.get(f"services.{number}.effect", "free")
+        if effect not in _EFFECTS:
+            raise ValueError(f"services[{number}].effect: {effect!r} is none of {', '.join(_EFFECTS)}")
+        if params.get(f"specifics.skilledPools.{number}") == "":
+            raise ValueError(f"specifics.skilledPools[{number}]: no pool may take this class")
+    return count
+
+
 def read_settings(params: Params) -> api.Settings:
     """Turn the settings of a `boot` line into the module's own, skipping what is not known."""
     classes = []
-    for number in range(_integer(params, "services.count")):
+    for number in range(_check_classes(params)):
         at = f"services.{number}."
         classes.append(
             api.CallClass(
@@ -94,6 +117,7 @@
         may_cancel=_flag(params, "limits.mayCancel"),
         must_ask=params.get("membershipMode") == "ask",
         marks_redials=_flag(params, "callers.marksRetry"),
+        most_stay_away_us=_most_stay_away_us(params),
     )
 
 
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -30,6 +30,8 @@
     "limits": {"sockets": 64},
     "settings": SETTINGS,
 }
+SERVICES: list[dict[str, object]] = SETTINGS["services"]  # type: ignore[assignment]
+LIMITS: dict[str, object] = SETTINGS["limits"]  # type: ignore[assignment]
 STARTED: list[subprocess.Popen[str]] = []
 
 
@@ -107,7 +109,8 @@
     # Nobody is listed and the aims are long: the set-up would wait here for 4.5 s.
     services = [{"name": "open-form", "aimUs": 9_000_000, "deadlineUs": 9_000_000, "importance": 1}]
     address = ("127.0.0.1", free_port())
-    told = {**TOLD, "listen": f"127.0.0.1:{address[1]}", "settings": {**SETTINGS, "services": services}}
+    of_services = {"services": services, "specifics": {"guardUs": 300_000, "skilledPools": [[0, 1, 2]]}}
+    told = {**TOLD, "listen": f"127.0.0.1:{address[1]}", "settings": {**SETTINGS, **of_services}}
     process = start(tmp_path, told)
     assert process.stderr is not None and "event=started" in process.stderr.readline()
     with socket.create_connection(address, timeout=4) as caller, process.stderr:
@@ -250,6 +253,17 @@
         {**TOLD, "listen": "nowhere"},
         {**TOLD, "seed": "x"},
         {**TOLD, "settings": {**SETTINGS, "fleetSize": 0}},
+        {**TOLD, "settings": {**SETTINGS, "limits": {**LIMITS, "maxAttempts": 0}}},
+        {**TOLD, "settings": {**SETTINGS, "limits": {**LIMITS, "dialTimeoutUs": 0}}},
+        {**TOLD, "settings": {**SETTINGS, "guarantees": {"fallUs": float("inf")}}},
+        {**TOLD, "settings": {**SETTINGS, "guarantees": {"coldShare": float("nan")}}},
+        {**TOLD, "settings": {**SETTINGS, "services": SERVICES[:1]}},  # pools for a class that is unknown
+        {**TOLD, "settings": {**SETTINGS, "services": [SERVICES[0], SERVICES[0]]}},
+        {**TOLD, "settings": {**SETTINGS, "services": [{**SERVICES[0], "effect": "often"}, SERVICES[1]]}},
+        {**TOLD, "settings": {**SETTINGS, "specifics": {"skilledPools": [[0], []]}}},
+        {**TOLD, "settings": {**SETTINGS, "tenants": [{"name": "", "fraction": 1}]}},
+        {**TOLD, "limits": {"sockets": 0}},
+        {**TOLD, "limits": {"sockets": 64, "memory_mb": 0}},
         {**TOLD, "known": {"updates": [{"index": 1, "endpoints": {"whole": True, "hosts": [{}]}}]}},
     ],
 )
