Send no set-up on a connection that its server has closed, and close idle ones first

Cause: a set-up that met a close which had come but was not read yet went out, was in doubt (RESET), and waited 300 ms; a server's close of idle connections (limits.connIdleUs, read nowhere) made that as frequent as a customer's settings like.

Change: right before an INVITE's first byte the connection is asked for the peer's end; the attempt then ends as unreachable, which proves that it never ran, and goes out on a new connection at once.

--- a/pearloom/__main__.py
+++ b/pearloom/__main__.py
@@ -68,8 +68,11 @@
             config.memory_mb,
         )
         self.callers = Callers(self.exchange, clock, self.counters, config)
-        wait_ms, price = config.dial_timeout_ms, config.handshake_price
-        makers: dict[str, Maker] = {SIP: lambda side, server: Trunk(side, server, wait_ms, price)}
+        makers: dict[str, Maker] = {
+            SIP: lambda side, server: Trunk(
+                side, server, config.dial_timeout_ms, config.idle_ms, config.handshake_price
+            )
+        }
         calls = most_calls(config.descriptors)
         left = config.descriptors - self.callers.most - calls - OWN_DESCRIPTORS
         self.servers = Directory(self.exchange, clock, self.counters, makers, left)
--- a/pearloom/core/config.py
+++ b/pearloom/core/config.py
@@ -14,6 +14,7 @@
 from pearloom.settings import flatten, read_settings
 
 Address = tuple[str, int]
+NEVER_US = 1e15  # where the settings name no such time
 _STATES = {
     "in_service": api.PoolState.READY,
     "terminating": api.PoolState.DRAINING,
@@ -61,6 +62,7 @@
     zone_names: tuple[str, ...]
     most_width: int
     dial_timeout_ms: float
+    idle_ms: float  # after which a session server closes a connection that is idle
     handshake_price: float  # points for a new connection a first try
     round_ms: float
     descriptors: int
@@ -141,6 +143,7 @@
             ),
             dial_timeout_ms=_above_zero("limits.dialTimeoutUs", params.get("limits.dialTimeoutUs", 500_000))
             / 1000.0,
+            idle_ms=_above_zero("limits.connIdleUs", params.get("limits.connIdleUs") or NEVER_US) / 1000.0,
             handshake_price=float(params.get("prices.handshake", 0.0)),
             round_ms=max(float(params.get("roundUs", 1000)) / 1000.0, 1.0),
             descriptors=int(_above_zero("limits.sockets", limits.get("sockets", 1024))),
--- a/pearloom/sip/link.py
+++ b/pearloom/sip/link.py
@@ -47,26 +47,26 @@
 class OutboundSetUp(OutboundMessage):
     """An INVITE; on its way or waiting for its answer."""
 
-    __slots__ = ("_may_send", "_on_written", "link", "sent_ms", "set_up")
+    __slots__ = ("_may_leave", "_on_written", "link", "sent_ms", "set_up")
 
     def __init__(
         self,
         data: bytes,
         set_up: SetUp,
-        may_send: Callable[[str, int], bool],
+        may_leave: Callable[[OutboundSetUp], bool],
         on_written: Callable[[], None],
     ) -> None:
-        """`may_send` is asked before its first byte leaves, `on_written` called once its last one has."""
+        """`may_leave` is asked before its first byte leaves, `on_written` called once its last one has."""
         super().__init__(data, set_up.offer.call)
         self.set_up = set_up
         self.link: Link | None = None
         self.sent_ms = 0.0  # when it was given to its connection
-        self._may_send = may_send
+        self._may_leave = may_leave
         self._on_written = on_written
 
     def may_leave(self) -> bool:
         """Is the call still there, and its caller?"""
-        return self._may_send(self.call, self.set_up.attempt)
+        return self._may_leave(self)
 
     def written(self) -> None:
         """Its last byte has left."""
@@ -81,15 +81,21 @@
         self._trunk = trunk
         self._decoder = sip.Decoder()
         self._inside_ms = math.inf  # since when a message has begun and is not whole
-        self.opened_ms = self.heard_ms = now_ms
+        self.opened_ms = self.heard_ms = self.used_ms = now_ms
+        self.ended = False  # the server has closed it, which is not read yet
         self.mute_ms = math.inf  # since when a set-up was given up on it that it never said a word after
         self.open: dict[str, OutboundSetUp] = {}
         self.connection = Connection(sock, self._data, self._ended, self._closed)
 
     def send(self, outbound: OutboundMessage) -> None:
         """Queue a message."""
+        self.used_ms = self._trunk.now_ms
         self.connection.send(outbound)
 
+    def heard(self, now_ms: float) -> None:
+        """A message came."""
+        self.heard_ms = self.used_ms = now_ms
+
     def watch(self, now_ms: float) -> None:
         """Guards against answers that break off or never end, and connections that nothing comes of."""
         if now_ms - self._inside_ms > CUT_SHORT_MS:
--- a/pearloom/sip/trunk.py
+++ b/pearloom/sip/trunk.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import logging
-import math
 
 import gevent
 
@@ -22,13 +21,13 @@
 from pearloom.sip.connecting import DialEnd, DialFailure, connect
 from pearloom.sip.dialling import Dialling
 from pearloom.sip.link import Link, OutboundSetUp, refusal
+from pearloom.sip.links import Links
 from pearloom.sip.liveness import QUIET_MS, Liveness
 from pearloom.sip.requests import sequence_of
 
 MUTE_FROM_MS = 100.0  # a set-up given up later than this, with no word on its connection since, tells of it
 REDIAL_MS = 250.0  # pause between dials while calls stand at a server
 BYE_KEPT_MS = 5000.0  # a BYE whose connection ends within this time, unanswered, is sent again
-MOST_LINKS = 8  # connections to one server: what one of them breaks is an eighth of what is open
 GIVEN_UP_KEPT_MS = 20_000.0  # a set-up given up whose last answer may still come
 
 
@@ -36,16 +35,21 @@
     """All that concerns one session server, by its id."""
 
     def __init__(
-        self, side: Directory, server: Server, dial_timeout_ms: float, handshake_price: float
+        self,
+        side: Directory,
+        server: Server,
+        dial_timeout_ms: float,
+        idle_ms: float,
+        handshake_price: float,
     ) -> None:
-        """Know the server; not connected yet."""
+        """Know the server; not connected yet. `idle_ms`: after which it closes an idle connection."""
         self._hand_shakes = Dialling(handshake_price)
         self._side = side
         self._exchange = side.exchange
         self._dial_timeout_s = dial_timeout_ms / 1000.0
         self.name = server.entry.server
         self.server = server
-        self._links: list[Link] = []
+        self._links = Links(idle_ms)
         self._dead = False  # while its connections are closed since it is dead
         self.dialling = False
         self._waiting: list[OutboundMessage] = []
@@ -83,13 +87,22 @@
     # --- what the exchange asks for -------------------------------------------------------------------------
     def set_up(self, set_up: SetUp) -> None:
         """Send an INVITE."""
-        exchange = self._exchange
-        outbound = OutboundSetUp(requests.invite(set_up), set_up, exchange.may_send, exchange.forwarded)
+        outbound = OutboundSetUp(requests.invite(set_up), set_up, self._may_leave, self._exchange.forwarded)
         if not self._owing:
             self._liveness.owes_from(self.now_ms)
         self._set_ups[outbound.call] = outbound
         self._send(outbound)
 
+    def _may_leave(self, outbound: OutboundSetUp) -> bool:
+        """Asked right before its first byte is written: is its connection open, and its caller there?"""
+        link = outbound.link
+        if link is not None and link.connection.peer_ended:
+            # Guards against a set-up in doubt since it crossed a close that had come and was not read yet.
+            link.ended = outbound.withdrawn = True
+            self._failed(outbound, AttemptError(Progress.CONNECTING, "closed by server", line_only=True))
+            return False
+        return self._exchange.may_send(outbound.call, outbound.set_up.attempt)
+
     def give_up(self, call: str) -> Progress:
         """Forget an INVITE; if any of it has left, a CANCEL follows."""
         outbound = self._set_ups.pop(call, None)
@@ -129,21 +142,18 @@
             # Guards against calls that stood on the process before this one, of which nothing will come.
             started_ms = server.entry.started_us / 1000.0
             self._exchange.server_lost(self.name, started_ms, "restarted")
-            for link in [one for one in self._links if one.opened_ms < started_ms]:
-                link.connection.close("restarted")
+            self._links.close_older(started_ms, "restarted")
         if server.entry.state is PoolState.GONE:
             self.watch()
 
     # --- connections ----------------------------------------------------------------------------------------
     def _send(self, outbound: OutboundMessage) -> None:
-        """Guards against a connection that takes set-ups and says nothing, and so looks like a silent server:
-        a mute one gets no further set-up until it speaks again."""
-        speaking = [link for link in self._links if link.mute_ms == math.inf]
-        best = min(speaking, key=lambda link: len(link.open), default=None)
+        """Hand a message to a connection, or keep it until one is up."""
+        best = self._links.best()
         if best is None or self._hand_shakes.wants_another(len(best.open), self.now_ms):
             self._dial_another()
         if best is None and not isinstance(outbound, OutboundSetUp):
-            best = next(reversed(self._links), None)
+            best = self._links.newest()
         if best is None:
             self._waiting.append(outbound)
             return
@@ -153,14 +163,9 @@
         best.send(outbound)
 
     def _dial_another(self) -> None:
-        if self._links and not self._side.may_open_another:
-            return
-        if len(self._links) >= MOST_LINKS:
-            mute = next((link for link in self._links if link.mute_ms < math.inf and not link.open), None)
-            if mute is None:
-                return
-            mute.connection.close("mute")
-        self.dial()
+        may_open = not self._links or self._side.may_open_another
+        if may_open and self._links.make_room():
+            self.dial()
 
     def media(self, call: str, media: Media) -> None:
         """Signalling alone goes here: what is said in a call reaches this server as its description says."""
@@ -194,7 +199,7 @@
             self._dial_failed(DialFailure(DialEnd.UNANSWERED, str(trouble)))
             return
         self._liveness.dial_came_up(self.now_ms)
-        self._links.append(link)
+        self._links.add(link)
         link.connection.start()
         waiting, self._waiting = self._waiting, []
         for outbound in waiting:
@@ -237,8 +242,7 @@
         self._byes.clear()
         self._exchange.server_lost(self.name, self._side.clock.now_ms() + 1, reason)
         self._dead = True
-        for link in list(self._links):
-            link.connection.close(reason)
+        self._links.close_all(reason)
         self._dead = False
 
     def finish(self) -> None:
@@ -246,13 +250,12 @@
 
     def close(self) -> None:
         """Close all connections of a server that is gone."""
-        for link in list(self._links):
+        for link in self._links:
             link.connection.finish()
 
     def link_closed(self, link: Link, reason: str, unsent: list[OutboundMessage]) -> None:
         """A connection is over: so are the set-ups on it, but not the calls that stand."""
-        if link in self._links:
-            self._links.remove(link)
+        self._links.remove(link)
         if reason != "done":
             # How many set-ups it took along, whether the server ever spoke on it and how old it was: a
             # server that closes new connections at once shows as many short, silent ones.
@@ -290,25 +293,20 @@
 
     def watch(self) -> None:
         """Called now and then: has a server that owes something fallen silent?"""
-        for link in list(self._links):
-            link.watch(self.now_ms)
+        self._links.watch(self.now_ms)
         if not self._owing:
             return
         is_gone = self.server.entry.state is PoolState.GONE
         if is_gone or (not self.ready and self._side.address_taken(self)):
             # Guards against taking the process that now has this address, and talks, for the one that had the
             # calls: only a connection from before them can still be the old one's.
-            opened_ms = min((link.opened_ms for link in self._links), default=math.inf)
-            self._exchange.server_lost(self.name, opened_ms, "gone" if is_gone else "replaced")
-        heard_ms = max((link.heard_ms for link in self._links), default=0.0)
-        if is_gone and self.now_ms - heard_ms >= QUIET_MS:
+            self._exchange.server_lost(self.name, self._links.oldest_ms(), "gone" if is_gone else "replaced")
+        if is_gone and self.now_ms - self._links.heard_ms() >= QUIET_MS:
             self._lost("gone")
         elif not is_gone and self._liveness.is_quiet(self.now_ms):
             # Guards against a machine that vanished: its connections stay open and say nothing, and only a
             # new one, which never comes up, tells it from one whose processor hangs.
-            unused = next((link for link in self._links if not link.open), None)
-            if len(self._links) >= MOST_LINKS and unused is not None:
-                unused.connection.close("spare")
+            self._links.spare_one()
             self.dial()
 
     # --- messages -------------------------------------------------------------------------------------------
@@ -320,7 +318,7 @@
 
     def message(self, link: Link, message: sip.Request | sip.Response) -> None:
         """Take one message."""
-        link.heard_ms = self.now_ms
+        link.heard(self.now_ms)
         self._liveness.heard(link.heard_ms)
         call = sip.call_of(message)
         if "x-circuits" in message.headers:
--- a/tests/races/test_caller_leaves.py
+++ b/tests/races/test_caller_leaves.py
@@ -106,7 +106,7 @@
 def test_a_set_up_that_waits_for_a_server_that_takes_nothing_is_withdrawn(scene: Scene) -> None:
     """Guards against a set-up sent on when a blocked connection takes bytes again, its caller long gone."""
     server = scene.peers["s1"]
-    link = scene.softswitch.servers._trunks["s-00000001"]._links[0]  # type: ignore[attr-defined]
+    link = scene.softswitch.servers._trunks["s-00000001"]._links.newest()  # type: ignore[attr-defined]
     near = link.connection._sock
     near.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
     filled = 0
--- a/tests/races/test_servers.py
+++ b/tests/races/test_servers.py
@@ -11,11 +11,13 @@
 
 from pearloom.core import connection as core_connection
 from pearloom.core.connection import Connection, OutboundMessage
+from pearloom.core.sides import NullCaller, Offer
 from tests.player import encode
 from tests.races.scene import CALL, SECOND, Scene, dials_held, scene, set_up
 
 __all__ = ["scene"]
 ANSWER = f"SIP/2.0 200 OK\r\nCall-ID: {CALL}\r\nCSeq: 1 INVITE\r\nContent-Length: 5\r\n\r\nsdp-s".encode()
+EMPTY = b"Content-Length: 0\r\n\r\n"
 STANDS = f'(09 {CALL} 30("sdp-s"))'
 
 
@@ -87,6 +89,34 @@
     assert b"INVITE " not in scene.received_by("s1")
 
 
+def test_a_set_up_that_meets_a_close_not_read_yet_goes_out_on_a_new_connection_at_once(scene: Scene) -> None:
+    """Guards against doubt, and its pause, over a set-up that a closed connection can't have brought."""
+    scene.peers["s1"].close()
+    offer = Offer(CALL, 0, "open-form", "7f3a9c21e0b4d655", b"sdp-c", 3000.0, 0)
+    scene.softswitch.exchange.offered(offer, NullCaller())  # nobody has had a turn since the close
+    scene.do(("s1", "opens", ""))
+    scene.invited("s1")
+
+
+def test_an_idle_connection_is_closed_before_its_server_does(scene: Scene) -> None:
+    """Guards against set-ups that cross the server's close, where settings make that frequent."""
+    trunk = scene.softswitch.servers._trunks["s-00000001"]
+    trunk._links._idle_ms = 2000.0  # type: ignore[attr-defined]
+    scene.do(("c1", ">", set_up()))
+    scene.invited("s1")
+    scene.pass_ms(1900)
+    assert trunk.connections == 1, "a set-up is open on it"
+    scene.peers["s1"].sendall(ANSWER)
+    scene.do(("c1", "<", STANDS), ("clock", "1900", ""))
+    scene.peers["s1"].sendall(f"BYE sip:x SIP/2.0\r\nCall-ID: {CALL}\r\nCSeq: 9 BYE\r\n".encode() + EMPTY)
+    scene.do(("c1", "<", f"(0c {CALL} 2d(10))"), ("clock", "1900", ""))
+    scene.settle()
+    assert trunk.connections == 1, "it was used since"
+    scene.pass_ms(200)
+    scene.settle()
+    assert trunk.connections == 0
+
+
 def test_an_answer_together_with_a_close_counts(scene: Scene) -> None:
     scene.do(("c1", ">", set_up()))
     scene.invited("s1")
--- a/tests/test_generated_settings.py
+++ b/tests/test_generated_settings.py
@@ -1,4 +1,4 @@
-"""The real program on settings that no customer has: names, times and limits come from where they are told."""
+"""The real program on settings that no customer has: names, times and limits come from where they stand."""
 
 from __future__ import annotations
 
