--- a/tests/races/test_process.py
+++ b/tests/races/test_process.py
@@ -20,7 +20,7 @@
 from pearloom.standins.stage import free_port
 from tests.player import SETTINGS, encode
 from tests.races.scene import OPTIONS
-from tests.test_program import PASSED, ROOT, TOLD, ask, await_line, ended, managed, start
+from tests.test_program import FAILED, PASSED, ROOT, TOLD, ask, await_line, ended, managed, start
 
 __all__ = ["ended"]
 CALL = "9b1f03aa5c7e2d41"
@@ -206,3 +206,30 @@
         true.sendall(encode(SET_UP))
         assert b"INVITE" in trunk.recv(1000)
         assert select.select(idle, [], [], 0)[0], "idle callers went first"
+
+
+def test_sigterm_to_the_old_process_in_the_middle_of_a_hand_over_loses_no_caller(tmp_path: Path) -> None:
+    """Guards against an old process that ends before the new one accepts, and takes the queue with it."""
+    address = ("127.0.0.1", free_port())
+    dial = socket.create_server(("127.0.0.1", 0), backlog=8)  # up, but never accepted: the new one waits 1 s
+    host = {"host": "s-00000001", "dial": "127.0.0.1:%d" % dial.getsockname()[1], "health": "in_service"}
+    known = {"index": 1, "updates": [{"index": 1, "endpoints": {"whole": True, "hosts": [host]}}]}
+    told = {**TOLD, "listen": "%s:%d" % address, "known": known}
+    old = start(tmp_path, told, TMPDIR=str(tmp_path))
+    await_line(old, "started")
+    new = start(tmp_path, told, TMPDIR=str(tmp_path))
+    await_line(old, "handover_begun")
+    old.send_signal(signal.SIGTERM)
+    await_line(new, "started")
+    for _ in range(3):
+        with socket.create_connection(address, timeout=5) as caller:
+            assert ask(caller) in (encode(PASSED), encode(FAILED))  # the old one fails tests while it ends
+    assert old.wait(5) == 0
+    with socket.create_connection(address, timeout=5) as caller:
+        assert ask(caller) == encode(PASSED)
+    dial.close()
+    for process in (old, new):
+        assert process.stderr is not None
+        process.kill()
+        process.wait()
+        process.stderr.close()
