Split the IAX2 leg, its tests of failures and the list of guards by concern

Change: iax2/events, speech, challenge, leg, out_leg, in_leg; tests/iax2/test_bad_callers; benchmarks/guards is a package with one table an area, the new one for the guards of a call's way. Said is MediaKind. No behaviour and no assertion changed. The guards have not been run whole on this tree yet.

--- /dev/null
+++ b/benchmarks/guards/fleet.py
@@ -0,0 +1,73 @@
+"""Guards of the fleet's store, maintenance, rules and rollouts, and of the operator's file."""
+
+from __future__ import annotations
+
+from benchmarks.guards.guard import Guard
+
+LINK, VIEW, ORDER, MODEL, FLEET = (
+    "tests/agreement/test_link.py",
+    "tests/membership/test_view.py",
+    "tests/turns/test_order.py",
+    "tests/turns/test_model.py",
+    "tests/fleet/test_turns.py",
+)
+HEAD, TABLE, SHELF, COUNTS, JUDGE, STEPS = (
+    "tests/rules/test_head.py",
+    "tests/rules/test_table.py",
+    "tests/rules/test_shelf.py",
+    "tests/rollout/test_evidence.py",
+    "tests/rollout/test_judge.py",
+    "tests/rollout/test_steps.py",
+)
+
+FLEET_GUARDS = (
+    Guard("a lease counts from its asking, less drift", "agreement/pace.py", "asked_ms + self.ttl_ms * (1.0 - DRIFT)", "asked_ms + self.ttl_ms * 9.0", (LINK,)),
+    Guard("pauses are drawn", "agreement/pace.py", "return pause * (0.1 + 0.9 * self._random.random())", "return pause * 2", (LINK,)),
+    Guard("changes follow what was read", "agreement/port.py", "changes.cluster != snapshot.cluster or changes.revision < snapshot.revision", "False", (LINK,)),
+    Guard("an older value is no win", "agreement/port.py", "entry.mod > compared.get(deed.key, 0)", "True", (LINK,)),
+    Guard("nothing is tried on an ended lease", "agreement/link.py", "if not self.may_act() and any(", "if False and any(", (LINK,)),
+    Guard("an older store is named", "agreement/link.py", "if (found.cluster, found.revision) < (cluster, revision) or (", "if False and (", (LINK,)),
+    Guard("a lost reply is read back", "agreement/link.py", "return self._read_back(attempt)", "return Outcome.UNKNOWN", (LINK,)),
+    Guard("a lease that is never answered is left to end", "agreement/link.py", "held = self.lease.hold(now) is Hold.HELD", "held = bool(self.lease.number)", (LINK,)),
+    Guard("a step compares the head's value", "rules/head.py", "Compare(HEAD, there.mod, there.value)", "Compare(HEAD, there.mod)", (HEAD,)),
+    Guard("an older head is not obeyed", "rules/head.py", "return head.number == seen.number and head.tag == seen.tag", "return True", (HEAD,)),
+    Guard("one rollout at a time", "rules/head.py", "if rollout is not None and rollout.goes_on:\n        first", "if False:\n        first", (HEAD,)),
+    Guard("the log is bounded", "rules/head.py", "[-(KEPT - 1) :]", "", (HEAD,)),
+    Guard("a head out of range is not used", "rules/head.py", "found is None or not _sound(found)", "found is None", (HEAD,)),
+    Guard("rules are what their name says", "rules/records.py", "and version_of(rules) == version", "", (HEAD,)),
+    Guard("the snapshot's checksum", "rules/shelf.py", "if sha256(body).hexdigest().encode() != checksum:", "if False:", (SHELF,)),
+    Guard("the snapshot's format", "rules/shelf.py", "if found.format != FORMAT:", "if False:", (SHELF,)),
+    Guard("kinds of calls are bounded", "rules/table.py", "first_choice if first_choice in self._choices else -1", "first_choice", (TABLE,)),
+    Guard("a route only narrows", "policy/routes.py", "(call.route is None or leaves(call.route, pool)) and ", "", (TABLE,)),
+    Guard("what rules leave nothing is refused at once", "policy/lifecycle.py", "if route is not None and ready and not any(", "if False and not any(", (TABLE,)),
+    Guard("a held call's rules hold up nobody", "policy/lifecycle.py", "                        if call.route is None:\n", "                        if True:\n", (TABLE,)),
+    Guard("of one life the last value counts", "rollout/evidence.py", "or joined[key].told < one.told", "or True", (COUNTS,)),
+    Guard("a call counts in the stage of its arrival", "rollout/evidence.py", "if mark // BUCKETS != self.stage or", "if", (COUNTS,)),
+    Guard("nothing is counted while no rollout goes on", "rollout/evidence.py", " or not self.stage:", ":", (COUNTS,)),
+    Guard("a value stands under its own key", "rollout/evidence.py", "or entry.key != key_of(name, one.incarnation)", "", (COUNTS,)),
+    Guard("what is out has to fit", "turns/order.py", "max(limits.floor * self._whole[turn.kind], self._load)", "limits.floor * self._whole[turn.kind]", ("tests/turns/test_capacity.py",)),
+    Guard("a shut gate carries nothing", "policy/controller.py", "0.0 if pool.ejected else pool.limit", "pool.limit", (TABLE,)),
+    Guard("bursts are no independent calls", "rollout/judge.py", "logs.append(whole / dispersion)", "logs.append(whole)", (JUDGE,)),
+    Guard("zones are compared with themselves", "rollout/judge.py", 'one.zone if one.zone in zones[0] and one.zone in zones[1] else ""', '""', (JUDGE,)),
+    Guard("somebody is left to compare with", "rollout/stages.py", "max(len(names) - 1, 1)", "len(names)", (STEPS,)),
+    Guard("nothing widens before all confirmed", "rollout/steps.py", "(said := seen.said.get(name)) is not None and said.version == rollout.version", "True", (STEPS,)),
+    Guard("one that tells nothing halts", "rollout/steps.py", "if silent > most:", "if False:", (STEPS,)),
+    Guard("the own cut is no lost store", "rollout/steps.py", "<= told + 1 for", "< 1e9 for", (STEPS,)),
+    Guard("a former life confirms nothing", "rollout/confirm.py", " or said[name].incarnation != life", "", (STEPS,)),
+    Guard("a late beat is no sign of life", "membership/view.py", "facts.beat <= beat", "facts.beat == beat", (VIEW,)),
+    Guard("a newer format is not guessed at", "agreement/values.py", "found.format == form", "True", (VIEW,)),
+    Guard("a younger process of one name is seen", "membership/view.py", "facts is not None and facts.incarnation > incarnation", "False", (VIEW,)),
+    Guard("what can't be read stops grants", "turns/order.py", "lambda: bool(turns.unreadable)", "lambda: False", (ORDER,)),
+    Guard("an old picture stops grants", "turns/order.py", "lambda: not fleet.fresh", "lambda: False", (ORDER,)),
+    Guard("machines out are limited", "turns/order.py", "self._out >= limits.out:", "False:", (ORDER,)),
+    Guard("those of a zone are limited", "turns/order.py", "self._zones[turn.zone] >= limits.out_zone", "False", (ORDER,)),
+    Guard("capacity has a floor", "turns/order.py", "if remains < max(", "if False and remains < max(", (ORDER,)),
+    Guard("a grant compares with the gate", "turns/steps.py", "Compare(GATE, turns.gate_mod), ", "", (MODEL,)),
+    Guard("a grant is for one life", "turns/steps.py", "turn.grant == own.incarnation", "True", (ORDER,)),
+    Guard("one that died on its turn is out", "turns/steps.py", "            if away or reborn:\n                return _step(held, Phase.OUT, DIED + \"turn\")\n            if turn.kind", "            if turn.kind", (ORDER,)),
+    Guard("a machine has one turn", "turns/records.py", "if (turn.kind, turn.machine) in names:", "if False:", (ORDER,)),
+    Guard("what is withheld stays so", "servers/listing.py", "self._tell(kind, [shown(server, self.withheld) for server in servers])", "self._tell(kind, servers)", ("tests/test_listing.py",)),
+    Guard("one that woke takes calls again", "turns/host.py", "and not turn.note.startswith(steps.DIED)", "", (f"{FLEET}::test_one_stopped_past_its_lease_counts_as_out_and_does_no_work_on_the_old_grant",)),
+    Guard("depth of the operator's file", "records/language.py", "if depth > MOST_DEPTH:", "if False:", ("tests/test_records.py",)),
+    Guard("fields that nobody asked for", "records/check.py", "if key not in self._asked:", "if False:", ("tests/test_records.py",)),
+)  # fmt: skip
--- /dev/null
+++ b/benchmarks/guards/iax2.py
@@ -0,0 +1,61 @@
+"""Guards of IAX2."""
+
+from __future__ import annotations
+
+from benchmarks.guards.guard import Guard
+
+LEGS, UNITS, FAILURES = (
+    "tests/iax2/test_legs.py",
+    "tests/iax2/test_decisions.py",
+    "tests/iax2/test_failures.py",
+)
+BAD_CALLERS = "tests/iax2/test_bad_callers.py"
+TRANSPORT, CODEC = "tests/iax2/test_transport.py", "tests/iax2/test_frames.py"
+PLAYED = "tests/test_exchanges.py"
+
+IAX2 = (
+    Guard("a repeat asks whether its server drains", "iax2/doubt.py", "return ready and wanted and", "return wanted and",
+          (UNITS, f"{FAILURES}::test_a_repeated_new_for_a_server_that_drained_is_new_work_and_does_not_leave")),
+    Guard("a NEW is asked for before each repeat", "iax2/transport.py", "not sent.may_repeat()", "False", (TRANSPORT, LEGS)),
+    Guard("silence proves nothing", "iax2/doubt.py", "End.SILENT: Ending.RESET", "End.SILENT: Ending.UNREACHABLE", (UNITS,)),
+    Guard("no cause proves after work", "iax2/doubt.py", "if stage is Stage.ACCEPTED and", "if False and", (UNITS,)),
+    Guard("an attempt given up ends when confirmed", "iax2/trunk.py", "        return None\n\n    def _close", "        return Progress.SENT\n\n    def _close",
+          (f"{FAILURES}::test_no_second_attempt_while_lost_hang_ups_leave_the_first_at_work",)),
+    Guard("a late copy of a NEW is no set-up", "iax2/listener.py", "elif token in self._spent:", "elif False:",
+          (f"{BAD_CALLERS}::test_a_plain_caller_is_served_and_a_late_copy_of_its_new_is_no_second_set_up",)),
+    Guard("a repeated NEW is the same NEW", "iax2/listener.py", "leg is not None and leg.token == token", "False",
+          (f"{BAD_CALLERS}::test_a_plain_caller_is_served_and_a_late_copy_of_its_new_is_no_second_set_up",)),
+    Guard("a token is bound to its source", "iax2/tokens.py", "hmac.compare_digest(digest, _digest(secret, source, number, told))", "True",
+          (UNITS, PLAYED)),
+    Guard("a token ages", "iax2/tokens.py", "<= LIVES_MS:", "<= 1e18:", (UNITS,)),
+    Guard("the token's time is taken off the patience", "iax2/listener.py", "offer.patience_ms -= ", "offer.patience_ms -= 0 * ",
+          (f"{BAD_CALLERS}::test_the_time_that_a_token_took_is_taken_off_the_patience",)),
+    Guard("the secret is checked", "iax2/in_leg.py", "hmac.compare_digest(told, wanted)", "True", (LEGS,)),
+    Guard("legs are limited in all", "iax2/admission.py", "self.legs >= self._limits.legs", "False",
+          (UNITS, f"{BAD_CALLERS}::test_legs_beyond_the_limit_are_refused_with_a_time_to_come_back")),
+    Guard("half-open legs go in time", "iax2/listener.py", "self._admission.overdue(now)", "[]",
+          (f"{BAD_CALLERS}::test_legs_that_never_say_who_they_are_go_in_time_and_make_room",)),
+    Guard("proven sources are not among the forged", "iax2/admission.py", "if proved is not None and", "if False and", (UNITS,)),
+    Guard("token replies are limited", "iax2/admission.py", "if self._tokens < 1:", "if False:", (UNITS,)),
+    Guard("both numbers of a frame have to fit", "iax2/trunk.py", "leg.transport.destination not in (0, frame.source)", "False",
+          (f"{BAD_CALLERS}::test_an_answer_under_another_leg_s_number_is_not_taken",)),
+    Guard("a hung up leg answers no call", "iax2/out_leg.py", "None if self.closing else MOVES", "MOVES", (LEGS,)),
+    Guard("an end is heard over a gap", "iax2/leg.py", "verdict is Verdict.EARLY and iax in", "False and iax in", (LEGS,)),
+    Guard("a gap before a HANGUP is doubt", "iax2/out_leg.py", "        if early:", "        if False:", (LEGS,)),
+    Guard("the order has no hole at the end", "iax2/transport.py", "if sent.may_repeat is not None:\n                sent", "if False:\n                sent", (TRANSPORT, LEGS)),
+    Guard("one challenge a leg", "iax2/out_leg.py", "if self._challenged or not", "if not", (LEGS,)),
+    Guard("copies are not taken again", "iax2/transport.py", "if ahead >= 128:", "if False:", (TRANSPORT, LEGS)),
+    Guard("old acknowledgements confirm nothing", "iax2/transport.py", "if confirmed > len(self._pending):", "if False:", (TRANSPORT,)),
+    Guard("unconfirmed frames are bounded", "iax2/transport.py", "len(self._pending) >= MOST_UNCONFIRMED", "False", (TRANSPORT,)),
+    Guard("parts of a description in order", "iax2/frames.py", "not block or block[0] != place", "not block", (CODEC,)),
+    Guard("a description's length fits", "iax2/frames.py", "len(whole) - 2 != whole[0] << 8 | whole[1]", "False", (CODEC,)),
+    Guard("a subclass is bounded", "iax2/frames.py", "> 63:", "> 255:", (CODEC,)),
+    Guard("call numbers rest", "iax2/numbers.py", ">= RESTS_MS", ">= 0", (UNITS, f"{BAD_CALLERS}::test_call_numbers_that_run_out_are_not_used_again_and_their_calls_go_elsewhere")),
+    Guard("a silent server's calls end", "iax2/liveness.py", ">= LOST_MS:", ">= 1e9:",
+          (UNITS, f"{FAILURES}::test_a_server_that_loses_its_calls_has_them_released_within_8_s")),
+    Guard("INVAL brings all legs under question", "iax2/liveness.py", "if self._audit_from < 0:", "if False:", (UNITS,)),
+    Guard("a refused datagram ends standing calls", "iax2/trunk.py", '        self._lost("refused")\n', "",
+          (f"{FAILURES}::test_a_server_that_loses_its_calls_has_them_released_within_8_s",)),
+    Guard("an answer has a description", "iax2/trunk.py", "if description is None and offer.description:", "if False:",
+          (f"{BAD_CALLERS}::test_an_answer_without_a_description_is_not_passed_on",)),
+)  # fmt: skip
--- a/pearloom/core/sides.py
+++ b/pearloom/core/sides.py
@@ -43,7 +43,7 @@
     ring_ms: float
 
 
-class Said(Enum):
+class MediaKind(Enum):
     """What a piece of media is."""
 
     VOICE = "voice"
@@ -54,7 +54,7 @@
 class Media:
     """One piece of what is said in a standing call, where a protocol carries that beside the signalling."""
 
-    kind: Said
+    kind: MediaKind
     codec: int  # as RFC 5456 (8.7) numbers them
     stamp_ms: int  # since its leg began
     payload: bytes
--- /dev/null
+++ b/pearloom/iax2/events.py
@@ -0,0 +1,79 @@
+"""What a leg tells its host."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from pearloom.core.sides import Media
+from pearloom.iax2.doubt import End, Stage
+from pearloom.iax2.frames import (
+    Elements,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Progressed:
+    """The set-up has come further; it means nothing to the call."""
+
+
+@dataclass(frozen=True, slots=True)
+class Answered:
+    """The call stands; the description is None where the peer sent none."""
+
+    description: bytes | None
+    circuits: str
+
+
+@dataclass(frozen=True, slots=True)
+class Rejected:
+    """The peer turned the set-up away, or hung up before any answer, in this stage."""
+
+    stage: Stage
+    cause: int
+    why: str
+    circuits: str
+
+
+@dataclass(frozen=True, slots=True)
+class Failed:
+    """The set-up ended without a word of the peer on it."""
+
+    stage: Stage
+    end: End
+    reason: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class HungUp:
+    """The peer ended the leg."""
+
+    cause: int
+
+
+@dataclass(frozen=True, slots=True)
+class Gone:
+    """The leg of a call that stands is no more, without a HANGUP."""
+
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class Offered:
+    """A set-up that may be placed: its caller has shown what was asked of it."""
+
+    elements: Elements
+
+
+@dataclass(frozen=True, slots=True)
+class Heard:
+    """Something of the standing call to be passed on."""
+
+    media: Media
+
+
+@dataclass(frozen=True, slots=True)
+class Over:
+    """Nothing more is to come or to be sent; the call number may rest."""
+
+
+Event = Progressed | Answered | Rejected | Failed | HungUp | Gone | Offered | Heard | Over
--- a/pearloom/iax2/listener.py
+++ b/pearloom/iax2/listener.py
@@ -18,8 +18,9 @@
 from pearloom.iax2 import tokens
 from pearloom.iax2.admission import Admission
 from pearloom.iax2.doubt import CAUSE_CONGESTION, CAUSE_NETWORK_OUT_OF_ORDER, CAUSE_TEMPORARY_FAILURE
+from pearloom.iax2.events import Event, Gone, Heard, HungUp, Offered, Over
 from pearloom.iax2.frames import Element, Elements, Full, Iax, Mini, decode, decode_elements
-from pearloom.iax2.leg import Event, Gone, Heard, HungUp, InLeg, Offered, Over
+from pearloom.iax2.in_leg import InLeg
 from pearloom.iax2.legs import Legs, answer_without_leg
 from pearloom.iax2.liveness import Liveness
 from pearloom.iax2.mapping import answer_elements, read_offer, secret_of
--- a/pearloom/iax2/trunk.py
+++ b/pearloom/iax2/trunk.py
@@ -11,22 +11,12 @@
 from pearloom.core.logs import note
 from pearloom.core.sides import Media, SetUp
 from pearloom.iax2.doubt import CAUSE_CONGESTION, CAUSE_NO_CIRCUIT, End, proves, rejected
+from pearloom.iax2.events import Answered, Event, Failed, Gone, Heard, HungUp, Over, Progressed, Rejected
 from pearloom.iax2.frames import Elements, Full, Iax, Mini, decode
-from pearloom.iax2.leg import (
-    Answered,
-    Event,
-    Failed,
-    Gone,
-    Heard,
-    HungUp,
-    OutLeg,
-    Over,
-    Progressed,
-    Rejected,
-)
 from pearloom.iax2.legs import Legs, answer_without_leg
 from pearloom.iax2.liveness import Liveness
 from pearloom.iax2.mapping import offer_elements
+from pearloom.iax2.out_leg import OutLeg
 from pearloom.iax2.udp import UdpPort
 from pearloom.interface import Ending, PoolState
 from pearloom.servers.directory import Directory
--- a/pearloom/standins/callers.py
+++ b/pearloom/standins/callers.py
@@ -14,12 +14,13 @@
 from pearloom.binary.isup import Code, Message, Type
 from pearloom.core.config import Address
 from pearloom.core.errors import Malformed
-from pearloom.core.sides import Media, Offer, Said
+from pearloom.core.sides import Media, MediaKind, Offer
+from pearloom.iax2.events import Answered, Event, Failed, Gone, Heard, HungUp, Over, Rejected
 from pearloom.iax2.frames import Elements, Full, Iax, decode
-from pearloom.iax2.leg import Answered, Event, Failed, Gone, Heard, HungUp, OutLeg, Over, Rejected
 from pearloom.iax2.legs import answer_without_leg
 from pearloom.iax2.mapping import ULAW, call_elements
 from pearloom.iax2.numbers import CallNumbers
+from pearloom.iax2.out_leg import OutLeg
 from pearloom.standins.journal import Journal, What
 from pearloom.standins.rules import SLACK_MS
 from pearloom.standins.script import Faults, Path
@@ -197,7 +198,7 @@
         """Say something in a call that stands."""
         leg = self._by_call.get(call)
         if leg is not None and leg.stands:
-            leg.say(Media(Said.VOICE, ULAW, stamp_ms, payload), _now())
+            leg.say(Media(MediaKind.VOICE, ULAW, stamp_ms, payload), _now())
             self._flush(leg, [])
 
     def _give_up(self, leg: _CallerLeg) -> None:
--- a/pearloom/standins/iax2_server.py
+++ b/pearloom/standins/iax2_server.py
@@ -14,6 +14,7 @@
 from pearloom.core.config import Address
 from pearloom.core.errors import Malformed
 from pearloom.iax2 import tokens
+from pearloom.iax2.events import Event, Gone, Heard, HungUp, Offered, Over
 from pearloom.iax2.frames import (
     Element,
     Elements,
@@ -24,7 +25,7 @@
     decode_elements,
     join_description,
 )
-from pearloom.iax2.leg import Event, Gone, Heard, HungUp, InLeg, Offered, Over
+from pearloom.iax2.in_leg import InLeg
 from pearloom.iax2.legs import answer_without_leg
 from pearloom.iax2.mapping import ULAW, answer_elements
 from pearloom.standins.journal import Journal, What
--- /dev/null
+++ b/tests/iax2/scenes.py
@@ -0,0 +1,41 @@
+"""What the tests of failures between IAX2 peers do again and again."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+from pearloom.standins.journal import What
+from pearloom.standins.script import Manner
+from pearloom.standins.stage import Stage
+
+SHORT = Manner(holds_ms=400.0)
+LONG = Manner(holds_ms=60_000.0)
+
+
+@contextmanager
+def played(stage: Stage, binary: int = 1, iax2: int = 1) -> Iterator[Stage]:
+    try:
+        stage.start()
+        stage.add_callers(binary, iax2)
+        yield stage
+        assert "Traceback" not in stage.log()
+    finally:
+        code = stage.close()
+    assert code == 0
+
+
+def count(stage: Stage, what: What, who: str = "") -> int:
+    return sum(one.what is what and who in ("", one.who) for one in stage.journal.entries)
+
+
+def settled(stage: Stage, for_s: float = 20.0) -> None:
+    assert stage.settle(for_s)
+    report = stage.report()
+    assert not report.broken, report.broken[:10]
+
+
+def first_choice(stage: Stage, caller: int, choice: int, patience_ms: float) -> None:
+    offer = stage.offer(patience_ms)
+    offer.first_choice = choice
+    stage.callers[caller].place(offer)
--- a/tests/iax2/test_legs.py
+++ b/tests/iax2/test_legs.py
@@ -9,26 +9,16 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from pearloom.core.sides import Media, Said
+from pearloom.core.sides import Media, MediaKind
 from pearloom.iax2.doubt import End, Stage
+from pearloom.iax2.events import Answered, Event, Failed, Gone, Heard, HungUp, Offered, Over, Rejected
 from pearloom.iax2.frames import Control, Element, Elements, Full, Iax, Mini, Type, decode
-from pearloom.iax2.leg import (
-    Answered,
-    Event,
-    Failed,
-    Gone,
-    Heard,
-    HungUp,
-    InLeg,
-    Leg,
-    Offered,
-    OutLeg,
-    Over,
-    Rejected,
-)
+from pearloom.iax2.in_leg import InLeg
+from pearloom.iax2.leg import Leg
 from pearloom.iax2.mapping import answer_elements
+from pearloom.iax2.out_leg import OutLeg
 
-VOICE = Media(Said.VOICE, 4, 0, b"hello")
+VOICE = Media(MediaKind.VOICE, 4, 0, b"hello")
 
 
 def parts(leg: Leg) -> list[Full | Mini]:
@@ -100,12 +90,12 @@
     pair.carry()
     assert pair.told == [Answered(b"there", "")]
     pair.out.say(VOICE, 20.0)
-    pair.out.say(Media(Said.VOICE, 4, 20, b"again"), 40.0)
-    pair.out.say(Media(Said.DIGIT, 0, 0, b"5"), 50.0)
+    pair.out.say(Media(MediaKind.VOICE, 4, 20, b"again"), 40.0)
+    pair.out.say(Media(MediaKind.DIGIT, 0, 0, b"5"), 50.0)
     pair.carry()
     said = [event.media for event in pair.heard if isinstance(event, Heard)]
     assert [(one.kind, one.payload) for one in said] == [
-        (Said.VOICE, b"hello"), (Said.VOICE, b"again"), (Said.DIGIT, b"5"),
+        (MediaKind.VOICE, b"hello"), (MediaKind.VOICE, b"again"), (MediaKind.DIGIT, b"5"),
     ]  # fmt: skip
     assert said[1].stamp_ms - said[0].stamp_ms == 20
     inside.hang_up(16, 100.0)
@@ -282,7 +272,7 @@
     pair.carry()
     for stamp in range(64_000, 68_000, 200):
         pair.now = float(stamp)
-        pair.out.say(Media(Said.VOICE, 4, stamp, b"v"), pair.now)
+        pair.out.say(Media(MediaKind.VOICE, 4, stamp, b"v"), pair.now)
         pair.carry()
     said = [event.media.stamp_ms for event in pair.heard if isinstance(event, Heard)]
     assert [later - sooner for sooner, later in pairwise(said)] == [200] * 19
