Compare the value of a turn and of the gate, and write the gate when room becomes free

Cause: a store that lost its last write gives that revision to another; a grant compared revisions alone, and counted on room that a lost write had freed, since a turn's end did not write the gate. Change: steps compare values too; the gate tells the last turn and how often room was freed. The gate's new fields are unreadable to older softswitches, which then begin no turn.

--- a/pearloom/turns/records.py
+++ b/pearloom/turns/records.py
@@ -75,12 +75,17 @@
 
 
 class Gate(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """What every grant writes: how many there were, and the zone of the last."""
+    """What every step writes that changes how many are out: counts, and the turn and zone of the last.
+
+    `last_turn` tells it from another one of the same counts: a store that lost its last writes gives their
+    revisions again, and a step that was computed on what was lost must not pass."""
 
     format: int = FORMAT
     grants: int = 0
     requests: int = 0
     last_zone: str = ""
+    freed: int = 0  # turns that are out no more
+    last_turn: str = ""
 
 
 class Limits(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -99,10 +104,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Held:
-    """A turn as it is in the store, and the revision that the next step compares with."""
+    """A turn as it is in the store, and the revision and value that the next step compares with."""
 
     turn: Turn
     mod: int
+    value: bytes
+
+    @property
+    def compare(self) -> Compare:
+        """It is still what was read."""
+        return Compare(self.turn.key, self.mod, self.value)
 
 
 @dataclass(frozen=True, slots=True)
@@ -114,8 +125,20 @@
     gate_mod: int = 0
     limits: Limits = field(default_factory=Limits)
     limits_mod: int = 0
+    gate_value: bytes | None = None
+    limits_value: bytes | None = None
     unreadable: tuple[str, ...] = ()  # keys whose value is spoilt or of a newer format
 
+    @property
+    def gate_compare(self) -> Compare:
+        """Nothing has been granted, asked for or freed since this was read."""
+        return Compare(GATE, self.gate_mod, self.gate_value)
+
+    @property
+    def limits_compare(self) -> Compare:
+        """The limits are those that were read."""
+        return Compare(LIMITS, self.limits_mod, self.limits_value)
+
     def find(self, turn: str) -> Held | None:
         """The turn of this id."""
         return next((held for held in self.turns if held.turn.id == turn), None)
@@ -129,7 +152,7 @@
         if turn is None or turn.key != entry.key:
             unreadable.append(entry.key)
         else:
-            turns.append(Held(turn, entry.mod))
+            turns.append(Held(turn, entry.mod, entry.value))
     gate_entry, limits_entry = snapshot.find(GATE), snapshot.find(LIMITS)
     gate = decoded(gate_entry.value, Gate, FORMAT) if gate_entry else Gate()
     limits = decoded(limits_entry.value, Limits, FORMAT) if limits_entry else Limits()
@@ -140,6 +163,8 @@
         gate_entry.mod if gate_entry else 0,
         limits or Limits(out=0),
         limits_entry.mod if limits_entry else 0,
+        gate_entry.value if gate_entry else None,
+        limits_entry.value if limits_entry else None,
         tuple(unreadable),
     )
 
@@ -152,7 +177,7 @@
 def moved(held: Held, **changes: object) -> tuple[Compare, Deed]:
     """The parts of a step that change one turn."""
     turn = msgspec.structs.replace(held.turn, **changes)
-    return Compare(held.turn.key, held.mod), Deed(held.turn.key, encode(turn))
+    return held.compare, Deed(held.turn.key, encode(turn))
 
 
 def request(there: Turns, asked: list[Turn]) -> Attempt:
@@ -171,7 +196,7 @@
         if (turn.kind, turn.machine) in names:
             raise TurnError(f"{turn.machine} has turn {turn.id} already, which is {turn.phase.value}")
     gate = msgspec.structs.replace(there.gate, requests=there.gate.requests + len(asked))
-    compares, deeds = [Compare(GATE, there.gate_mod)], [Deed(GATE, encode(gate))]
+    compares, deeds = [there.gate_compare], [Deed(GATE, encode(gate))]
     for number, turn in enumerate(asked, there.gate.requests + 1):
         if not 0 < len(turn.machine) <= MOST_NAME:
             raise TurnError(f"a machine's name has 1 to {MOST_NAME} signs")
@@ -184,4 +209,4 @@
     """Put the own file's limits into the store, if they are of a higher edition than what is there."""
     if there.limits_mod and own.edition <= there.limits.edition or LIMITS in there.unreadable:
         return None
-    return Attempt((Compare(LIMITS, there.limits_mod),), (Deed(LIMITS, encode(own)),))
+    return Attempt((there.limits_compare,), (Deed(LIMITS, encode(own)),))
--- a/pearloom/turns/steps.py
+++ b/pearloom/turns/steps.py
@@ -25,9 +25,9 @@
 
 import msgspec
 
-from pearloom.agreement.port import Attempt, Compare, Deed
+from pearloom.agreement.port import Attempt, Deed
 from pearloom.turns.order import Fleet, Machine, waits
-from pearloom.turns.records import GATE, LIMITS, Held, Kind, Phase, TurnError, Turns, encode, moved
+from pearloom.turns.records import GATE, Held, Kind, Phase, TurnError, Turns, encode, moved
 
 DIED = "died on its "  # how the notes of those begin that did
 KEEP_MS = 60_000.0  # a turn that is done is shown for so long
@@ -79,14 +79,26 @@
     return Step(held.turn.id, held.turn.machine, to, why, Attempt((compare,), (deed,)))
 
 
+def _free(held: Held, turns: Turns, to: Phase, why: str, **changes: object) -> Step:
+    """A step after which the machine counts as out no more: who counts on its room compares with the gate.
+
+    Guards against a grant into room that a store has taken back by losing this very write."""
+    compare, deed = moved(held, phase=to, note=why, **changes)
+    gate = msgspec.structs.replace(turns.gate, freed=turns.gate.freed + 1, last_turn=held.turn.id)
+    attempt = Attempt((compare, turns.gate_compare), (deed, Deed(GATE, encode(gate))))
+    return Step(held.turn.id, held.turn.machine, to, why, attempt)
+
+
 def _grant(held: Held, turns: Turns, fleet: Fleet) -> Step:
     machine = fleet.find(held.turn.kind, held.turn.machine)
     assert machine is not None, "a turn that may begin has its machine in the fleet"
-    gate = msgspec.structs.replace(turns.gate, grants=turns.gate.grants + 1, last_zone=held.turn.zone)
+    gate = msgspec.structs.replace(
+        turns.gate, grants=turns.gate.grants + 1, last_zone=held.turn.zone, last_turn=held.turn.id
+    )
     compare, deed = moved(held, phase=Phase.GRANTED, note="next", grant=machine.incarnation)
     # The gate is compared too: two that each see room for one more can't both take it. So are the limits.
     attempt = Attempt(
-        (compare, Compare(GATE, turns.gate_mod), Compare(LIMITS, turns.limits_mod)),
+        (compare, turns.gate_compare, turns.limits_compare),
         (deed, Deed(GATE, encode(gate))),
     )
     return Step(held.turn.id, held.turn.machine, Phase.GRANTED, "next", attempt)
@@ -104,7 +116,7 @@
             if turn.kind is Kind.SERVER or _mine(held, own):
                 return _step(held, Phase.DRAINING, "taken up")
             if since_ms > limits.take_up_ms:
-                return _step(held, Phase.WAITING, "not taken up", grant=0)
+                return _free(held, turns, Phase.WAITING, "not taken up", grant=0)
         case Phase.DRAINING:
             if away or reborn:
                 return _step(held, Phase.OUT, DIED + "turn")
@@ -119,9 +131,9 @@
             if away:
                 return _step(held, Phase.OUT, DIED + "return")
             if since_ms > limits.settle_ms:
-                return _step(held, Phase.DONE, "settled")
+                return _free(held, turns, Phase.DONE, "settled")
         case Phase.DONE if since_ms > KEEP_MS:
-            gone = Attempt((Compare(turn.key, held.mod),), (Deed(turn.key, None),))
+            gone = Attempt((held.compare,), (Deed(turn.key, None),))
             return Step(turn.id, turn.machine, None, "forgotten", gone)
     return None
 
@@ -142,7 +154,7 @@
     held = _held(turns, turn)
     match held.turn.phase:
         case Phase.WAITING | Phase.DONE:
-            gone = Attempt((Compare(held.turn.key, held.mod),), (Deed(held.turn.key, None),))
+            gone = Attempt((held.compare,), (Deed(held.turn.key, None),))
             return Step(turn, held.turn.machine, None, "cancelled", gone)
         case Phase.GRANTED | Phase.DRAINING:
             return _step(held, Phase.RETURNING, "cancelled")
--- a/tests/turns/test_capacity.py
+++ b/tests/turns/test_capacity.py
@@ -7,6 +7,7 @@
 
 from pearloom.membership import Condition, Member, MemberFacts
 from pearloom.membership.view import MOST_GATES, decode_facts, next_facts
+from pearloom.turns import records
 from pearloom.turns.capacity import load, weighed
 from pearloom.turns.order import Fleet, Machine, Wait, waits
 from pearloom.turns.records import Gate, Held, Kind, Limits, Turn, Turns
@@ -53,7 +54,9 @@
     members = [member("n1", limits, out)]
     turn = Turn(1, "t", Kind.SERVER, "s-1", "a", "", False, "n1", "", 1)
     turns = Turns(
-        (Held(turn, 5),), gate=Gate(1, 1), limits=Limits(out=3, out_zone=3, out_cell=3, floor=floor)
+        (Held(turn, 5, records.encode(turn)),),
+        gate=Gate(1, 1),
+        limits=Limits(out=3, out_zone=3, out_cell=3, floor=floor),
     )
     fleet = Fleet(weighed(SERVERS, members), load=load(members))
     assert [why for _, why in waits(turns, fleet)] == [wait]
--- a/tests/turns/test_model.py
+++ b/tests/turns/test_model.py
@@ -1,9 +1,9 @@
 """Turns explored exhaustively: two softswitches and a store, over every order of what may happen.
 
 The softswitches run the real decisions (`order`, `steps`, `records`) on what each last read. The store does
-a transaction whole or not at all. Beside the steps: a read that is late, a reply lost after the write, an
-urgent request in between, a softswitch that sleeps through its lease and wakes with its old picture, a
-machine that dies and is born again.
+a transaction whole or not at all, and may lose its last one, after which it gives that revision again. Beside
+the steps: a read that is late, a reply lost after the write, an urgent request in between, a softswitch that
+sleeps through its lease and wakes with its old picture, a machine that dies and is born again.
 
 Invariants, at every state: never more machines out than the limits say; a turn is granted to one life only;
 a softswitch works (drains) on no grant of a former life; numbers of steps only grow.
@@ -27,6 +27,7 @@
 
 NAMES = ("n1", "n2")
 REVISIONS = 9  # of the store, up to which is explored
+LOSES = "the store loses its last write"
 LATE_MS = 1e6  # so long a phase has lasted where a step that waits for time is to be possible
 
 
@@ -50,6 +51,7 @@
     store: Snapshot
     nodes: tuple[Node, ...]
     faults: int
+    past: Snapshot | None = None  # before the last write, which may still be lost
 
 
 reading = lru_cache(maxsize=None)(records.read_turns)
@@ -81,13 +83,16 @@
     if world.store.find("turns/t-n2") is None and world.store.revision < 6:
         asked = apply(world.store, records.request(reading(world.store), [ask("n2", urgent=True)]))
         assert asked is not None
-        yield "an urgent request comes", replace(world, store=asked)
+        yield "an urgent request comes", replace(world, store=asked, past=world.store)
+    if world.faults and world.past is not None:
+        yield LOSES, World(world.past, world.nodes, world.faults - 1)
     for at, name in enumerate(NAMES):
         node = world.nodes[at]
 
         def put(changed: Node, store: Snapshot = world.store, spent: int = 0, at: int = at) -> World:
             nodes = tuple(changed if one == at else old for one, old in enumerate(world.nodes))
-            return World(store, nodes, world.faults - spent)
+            past = world.past if store is world.store else world.store
+            return World(store, nodes, world.faults - spent, past)
 
         if node.awake:
             if node.read != world.store and node.trying is None:
@@ -155,7 +160,7 @@
         world = waiting.popleft()
         for what, after in moves(world):
             count += 1
-            if after.store.revision < world.store.revision:
+            if after.store.revision < world.store.revision and what != LOSES:
                 return len(ways), count, f"{ways[world]}; {what}: the store went back"
             if after.store.revision > REVISIONS or after in ways:
                 continue
@@ -187,22 +192,67 @@
         monkeypatch.setattr(steps, "_grant", grant)
     elif seeded == "out":  # machines out on their turn are not counted
         monkeypatch.setattr(order, "out", lambda turns, fleet: [])
+    elif seeded == "freed":  # room that became free is told by no write of the gate
+
+        def free(
+            held: records.Held, turns: records.Turns, to: Phase, why: str, **changes: object
+        ) -> steps.Step:
+            return steps._step(held, to, why, **changes)
+
+        monkeypatch.setattr(steps, "_free", free)
     else:  # a step no longer compares with the turn's revision
 
         def moved(held: records.Held, **changes: object) -> tuple[object, object]:
             compare, deed = records.moved(held, **changes)
-            return replace(compare, key="nothing", mod=0), deed
+            return replace(compare, key="nothing", mod=0, value=None), deed
 
         monkeypatch.setattr(steps, "moved", moved)
 
 
-@pytest.mark.parametrize("seeded", ["gate", "out", "revision"])
+@pytest.mark.parametrize("seeded", ["gate", "out", "revision", "freed"])
 def test_the_exploration_finds_a_seeded_fault(monkeypatch: pytest.MonkeyPatch, seeded: str) -> None:
     without(monkeypatch, seeded)
     _, _, way = explore(Limits(out=1, floor=0.0), 1)
     assert way, f"{seeded} was taken out and nothing broke"
 
 
+def test_a_grant_into_room_that_a_lost_write_had_freed_does_not_pass() -> None:
+    """Guards against a compare on revisions alone: a store that lost a write gives its revision again."""
+    limits = Limits(out=1, floor=0.0)
+    machines = tuple(Machine(Kind.SOFTSWITCH, name, f"zone-{name}", incarnation=1) for name in NAMES)
+    fleet, own = Fleet(machines), Own("n1", 1)
+    store: Snapshot | None = Snapshot(1, 1, (Entry(records.LIMITS, records.encode(limits), 1, 1),))
+    assert store is not None
+    store = apply(store, records.request(reading(store), [ask(name, urgent=False) for name in NAMES]))
+
+    def on(there: Snapshot, fleet: Fleet, waited: float) -> steps.Step:
+        seen = {(held.turn.id, held.mod): -waited for held in reading(there).turns}
+        step = steps.next_step(reading(there), fleet, own, seen, 0.0)
+        assert step is not None
+        return step
+
+    for to in (Phase.GRANTED, Phase.DRAINING, Phase.OUT, Phase.RETURNING):
+        assert store is not None
+        born = 2 if to is Phase.RETURNING else 1
+        seen = Fleet((replace(machines[0], incarnation=born), machines[1]))
+        step = on(store, seen, LATE_MS if to is Phase.OUT else 0.0)
+        assert step.to is to
+        store = apply(store, step.attempt)
+    assert store is not None
+    freed = apply(store, on(store, fleet, LATE_MS).attempt)  # done; and this write is lost
+    assert freed is not None
+    late = on(freed, fleet, 0.0)
+    assert (late.to, late.machine) == (Phase.GRANTED, "n2")
+    other = apply(store, records.request(reading(store), [replace_id(ask("n1", urgent=False))]))
+    assert other is not None and other.revision == freed.revision
+    assert apply(other, late.attempt) is None
+
+
+def replace_id(turn: Turn) -> Turn:
+    """Another machine's turn, so that it may be asked for beside those that are there."""
+    return Turn(1, "t-n3", Kind.SOFTSWITCH, "n3", turn.zone, "", False, "n1", turn.reason, 0)
+
+
 def test_rolling_work_over_a_simulated_fleet_keeps_the_limits_and_wastes_little() -> None:
     limits = Limits(out=4, out_zone=2, out_cell=40, floor=0.5, drain_ms=2_000, settle_ms=1_000)
     found = roll(40, 3, limits, (5_000.0, 10_000.0), seed=3)
--- a/tests/turns/test_order.py
+++ b/tests/turns/test_order.py
@@ -29,7 +29,7 @@
 ) -> Held:
     name = machine or f"n{number}"
     found = Turn(FORMAT, f"t{number}", kind, name, zone, cell, urgent, "n1", "", number, phase, grant, note)
-    return Held(found, 10 + number)
+    return Held(found, 10 + number, records.encode(found))
 
 
 def machine(name: str, zone: str = "a", ready: bool = True, life: int = 1, cell: str = "") -> Machine:
