Begin no turn while a zone is in trouble, and keep servers' zones over an upgrade

Cause: nothing reported a zone's trouble to the order of turns, and trouble held up that zone alone, while the others carry its load. A hand-over passed servers without their zones. Change: turns/trouble.py (pure) from machines away without a turn; every turn waits then; the hand-over's list has the zones beside the servers, so that an earlier version reads it too.

--- a/pearloom/admin/handover.py
+++ b/pearloom/admin/handover.py
@@ -113,8 +113,9 @@
         if first is None:
             raise ConnectionError("no list came")
         sock.settimeout(None)
+        zones = first.get("zones", {})  # an elder of an earlier version does not tell them
         servers = tuple(
-            Server(PoolEntry(name, cell, PoolState(state), started_us), (host, port))
+            Server(PoolEntry(name, cell, PoolState(state), started_us), (host, port), zones.get(name, ""))
             for name, cell, state, started_us, host, port in first["servers"]
         )
         listed = ListUpdate(first["index"], True, servers)
@@ -245,6 +246,7 @@
                 "known": self._known_digest,
                 "index": self._coordinator.index,
                 "servers": servers,
+                "zones": {one.entry.server: one.zone for one in self._servers.listing()},
                 "drained": self._callers.drained,
             }
             # The socket goes with the first byte; the line may be longer than one write takes.
--- a/pearloom/turns/host.py
+++ b/pearloom/turns/host.py
@@ -26,6 +26,7 @@
 from pearloom.turns.order import Fleet, Machine, Wait, waits
 from pearloom.turns.records import Held, Kind, Limits, Phase, Turns
 from pearloom.turns.steps import Own, Step
+from pearloom.turns.trouble import zones_in_trouble
 
 LOOK_S = 0.25  # between looks when nothing changed: phases end by time
 LOOK_FIRST_S = 0.02  # after a change: what came with it is taken in one look
@@ -91,9 +92,11 @@
             )
             for one in self._hands.servers()
         ]  # fmt: skip
+        turns = self.turns
         return Fleet(
-            weighed(machines, view.members), self._link.fresh, halted=self._hands.halted(),
-            load=load(view.members),
+            weighed(machines, view.members), self._link.fresh,
+            trouble=frozenset() if turns is None else zones_in_trouble(machines, turns),
+            halted=self._hands.halted(), load=load(view.members),
         )  # fmt: skip
 
     def waiting(self) -> list[tuple[Held, Wait | None]]:
--- a/pearloom/turns/order.py
+++ b/pearloom/turns/order.py
@@ -6,9 +6,10 @@
 | a turn in another zone than the last granted | one of that zone, of the same urgency |
 | the turn asked for first | the others of the same urgency and zone order |
 
-A turn that may not begin (limits, floor, trouble) holds up the others of its zone, not those of other zones:
-otherwise one machine in a zone in trouble would hold up all. An urgent one that may not begin holds up all
-that are not urgent, since each of them would take the room that it waits for.
+A turn that may not begin (limits, floor) holds up the others of its zone, not those of other zones: otherwise
+one machine that can't be spared would hold up all. None begins while any zone is in trouble (`trouble.py`).
+An urgent one that may not begin holds up all that are not urgent, since each of them would take the room that
+it waits for.
 """
 
 from __future__ import annotations
@@ -27,7 +28,7 @@
     BEHIND = "behind another turn"
     STALE = "the store was not read lately"
     UNREADABLE = "a value in the store can't be read"
-    TROUBLE = "its zone is in trouble"
+    TROUBLE = "a zone is in trouble"
     HALTED = "a rollout has just halted"
     ALL = "as many machines are out as may be"
     ZONE = "as many machines of its zone are out as may be"
@@ -102,14 +103,14 @@
             return Wait.UNKNOWN
         if not machine.ready:
             return Wait.AWAY
-        if turn.zone in self._trouble:
-            return Wait.TROUBLE
         if self._out >= limits.out:
             return Wait.ALL
         if self._zones[turn.zone] >= limits.out_zone:
             return Wait.ZONE
         if turn.cell and self._cells[turn.cell] >= limits.out_cell:
             return Wait.CELL
+        if self._trouble:
+            return Wait.TROUBLE
         remains = self._remains[turn.kind] - machine.capacity
         # What is out now has to fit as well, however low the floor is set.
         if remains < max(limits.floor * self._whole[turn.kind], self._load):
--- /dev/null
+++ b/pearloom/turns/trouble.py
@@ -0,0 +1,28 @@
+"""Which zones are in trouble: more of their machines are away than one failure explains. A decision: no I/O.
+
+Guards against work begun while a zone is lost or cut off: the others carry its load, and no machine of theirs
+can be spared.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterable
+
+from pearloom.turns.order import Machine
+from pearloom.turns.records import Turns
+
+LEAST_AWAY = 2  # machines of a zone: one alone is a failure of its own
+SHARE_AWAY = 0.25  # of the zone's machines
+
+
+def zones_in_trouble(machines: Iterable[Machine], turns: Turns) -> frozenset[str]:
+    """The zones of which so many machines are away without a turn of their own; `""` stands for no zone."""
+    on_turn = {(held.turn.kind, held.turn.machine) for held in turns.turns if held.turn.is_out}
+    whole, away = Counter[str](), Counter[str]()
+    for machine in machines:
+        whole[machine.zone] += 1
+        away[machine.zone] += not machine.ready and (machine.kind, machine.name) not in on_turn
+    return frozenset(
+        zone for zone, count in away.items() if zone and count >= max(LEAST_AWAY, SHARE_AWAY * whole[zone])
+    )
--- a/tests/fleet/test_turns.py
+++ b/tests/fleet/test_turns.py
@@ -177,6 +177,25 @@
     judged(rig)
 
 
+def test_no_turn_begins_anywhere_while_a_zone_is_in_trouble(started: Starter) -> None:
+    rig = started(27, softswitches=5, out=5, out_zone=5, floor=0.0)
+    zones = {name: node.zone for name, node in rig.nodes.items()}
+    lost = [name for name, zone in zones.items() if zone == zones["n2"]][-2:]
+    at = next(name for name in zones if name not in lost)
+    for name in lost:
+        rig.kill(name)
+    rig.until(
+        lambda: all(f"member={name} condition=away" in rig.ask(at, "GET", "/v1/members")[1] for name in lost)
+    )
+    (turn,) = rig.work(at, "s-00000001")
+    gevent.sleep(1.0)
+    assert rig.phase(turn) == "waiting"
+    assert 'why="a zone is in trouble"' in rig.ask(at, "GET", "/v1/work")[1]
+    rig.start(*lost)
+    rig.until(lambda: rig.phase(turn) == "out", 15.0, rig.nodes[at].log)
+    judged(rig, most_out=5)
+
+
 def test_two_operators_at_two_softswitches_ask_for_the_same_machine_at_once(started: Starter) -> None:
     rig = started(19, out=0)
     body = {"machines": [{"kind": "softswitch", "name": "n3"}]}
--- a/tests/races/test_process.py
+++ b/tests/races/test_process.py
@@ -17,9 +17,12 @@
 
 import pytest
 
+from pearloom.admin import handover
+from pearloom.core.config import Server
+from pearloom.interface import ListKind, PoolEntry, PoolState
 from pearloom.standins.stage import free_port
 from tests.player import SETTINGS, encode
-from tests.races.scene import OPTIONS
+from tests.races.scene import OPTIONS, Scene
 from tests.test_program import FAILED, PASSED, ROOT, TOLD, ask, await_line, ended, managed, start
 
 __all__ = ["ended"]
@@ -233,3 +236,18 @@
         process.kill()
         process.wait()
         process.stderr.close()
+
+
+def test_zones_of_servers_are_kept_over_an_upgrade(tmp_path: Path) -> None:
+    """Guards against rules and work that go by zones and find none after an upgrade."""
+    path = tmp_path / "handover.sock"
+    scene = Scene(tmp_path)
+    try:
+        told = Server(PoolEntry("s-00000009", 4, PoolState.READY), ("127.0.0.1", 1), "east")
+        scene.softswitch.exchange.told(ListKind.CHANGES, [told])
+        scene.softswitch.handover.listen(path)
+        legacy = handover.ask(path)
+        assert legacy is not None
+        assert {one.entry.server: one.zone for one in legacy.listed.servers}["s-00000009"] == "east"
+    finally:
+        scene.close()
--- a/tests/turns/test_order.py
+++ b/tests/turns/test_order.py
@@ -84,6 +84,7 @@
         (turns(turn(1), limits=Limits(out=9, out_zone=9, floor=0.5)), GONE, [Wait.FLOOR]),
         (turns(turn(1), limits=Limits(out=9, out_zone=9, floor=0.33)), GONE, [None]),
         (turns(turn(1)), Fleet(FLEET.machines, trouble=frozenset({"a"})), [Wait.TROUBLE]),
+        (turns(turn(1)), Fleet(FLEET.machines, trouble=frozenset({"b"})), [Wait.TROUBLE]),  # another one's
         (turns(turn(1)), Fleet(FLEET.machines, halted=True), [Wait.HALTED]),
         (turns(turn(1)), Fleet(FLEET.machines, fresh=False), [Wait.STALE]),
         (turns(turn(9), turn(1)), FLEET, [None, Wait.UNKNOWN]),  # one that nobody knows holds up nobody
--- /dev/null
+++ b/tests/turns/test_trouble.py
@@ -0,0 +1,42 @@
+"""Zones in trouble, cell by cell."""
+
+from __future__ import annotations
+
+import pytest
+
+from pearloom.turns import records
+from pearloom.turns.order import Machine
+from pearloom.turns.records import FORMAT, Held, Kind, Phase, Turn, Turns
+from pearloom.turns.trouble import zones_in_trouble
+
+
+def zone(name: str, ready: int, away: int) -> list[Machine]:
+    return [
+        Machine(Kind.SERVER, f"{name}{at}", name, ready=at >= away, incarnation=1)
+        for at in range(ready + away)
+    ]
+
+
+def on_turn(machine: str, phase: Phase) -> Held:
+    turn = Turn(FORMAT, machine, Kind.SERVER, machine, "a", "", False, "n1", "", 1, phase, 1)
+    return Held(turn, 5, records.encode(turn))
+
+
+@pytest.mark.parametrize(
+    ("machines", "turns", "found"),
+    [
+        (zone("a", 4, 0), (), set()),
+        (zone("a", 4, 1), (), set()),  # one failure
+        (zone("a", 1, 1), (), set()),  # half of it, and still one
+        (zone("a", 6, 2), (), {"a"}),  # a quarter
+        (zone("a", 7, 2), (), set()),
+        (zone("a", 0, 3) + zone("b", 3, 0), (), {"a"}),  # the whole zone
+        (zone("a", 2, 2) + zone("b", 2, 2), (), {"a", "b"}),
+        (zone("a", 2, 2), (on_turn("a0", Phase.OUT),), set()),  # one of them is on its turn
+        (zone("a", 2, 2), (on_turn("a0", Phase.DONE),), {"a"}),
+        (zone("a", 2, 2), (on_turn("a0", Phase.WAITING),), {"a"}),
+        (zone("", 2, 2), (), set()),  # where zones are not told
+    ],
+)
+def test_zones_in_trouble(machines: list[Machine], turns: tuple[Held, ...], found: set[str]) -> None:
+    assert zones_in_trouble(machines, Turns(turns)) == found
