--- a/benchmarks/cold_starts.py
+++ b/benchmarks/cold_starts.py
@@ -15,7 +15,7 @@
 from rich.table import Table
 
 from pearloom import interface as api
-from pearloom.standins.cold_start import Fleet, play
+from pearloom.fakes.cold_start import Fleet, play
 
 SETTINGS = api.Settings(
     classes=(
--- a/benchmarks/iax2.py
+++ b/benchmarks/iax2.py
@@ -14,9 +14,9 @@
 
 import gevent
 
-from pearloom.standins.journal import What
-from pearloom.standins.script import Manner
-from pearloom.standins.stage import Stage
+from pearloom.fakes.journal import What
+from pearloom.fakes.script import Manner
+from pearloom.fakes.stage import Stage
 
 PAIRS = (("binary", "sip"), ("binary", "iax2"), ("iax2", "sip"), ("iax2", "iax2"))
 STEADY = Manner(after_ms=(5.0, 20.0), holds_ms=500.0)
--- a/benchmarks/turns.py
+++ b/benchmarks/maintenance.py
@@ -1,6 +1,6 @@
 """How long rolling work over a fleet takes, against the shortest that the limits allow; writes to the store.
 
-python -m benchmarks.turns
+python -m benchmarks.maintenance
 """
 
 from __future__ import annotations
@@ -10,8 +10,8 @@
 from rich.console import Console
 from rich.table import Table
 
-from pearloom.standins.fleet.simulation import roll
-from pearloom.turns.records import Limits
+from pearloom.fakes.fleet.simulation import roll
+from pearloom.maintenance.records import Limits
 
 CASES = ((12, 2, 2, 1), (50, 3, 4, 2), (200, 4, 8, 2), (200, 4, 20, 5))
 DRAIN_MS, SETTLE_MS, WORK_MS = 20_000.0, 15_000.0, (60_000.0, 120_000.0)
--- a/benchmarks/rollouts.py
+++ b/benchmarks/rollouts.py
@@ -2,7 +2,7 @@
 
 python -m benchmarks.rollouts [DAYS]
 
-The real tally, join and test on made-up days (`pearloom/standins/fleet/days.py`); a plot goes to `found/`.
+The real tally, join and test on made-up days (`pearloom/fakes/fleet/days.py`); a plot goes to `found/`.
 """
 
 from __future__ import annotations
@@ -18,7 +18,7 @@
 from rich.console import Console
 from rich.table import Table
 
-from pearloom.standins.fleet.days import Day, Played, play_day
+from pearloom.fakes.fleet.days import Day, Played, play_day
 
 RATE = 0.01
 BASE = (0.01, 0.02, 0.002)  # late, refused, failed
--- a/benchmarks/routing.py
+++ b/benchmarks/routing.py
@@ -16,11 +16,11 @@
 from pearloom.interface import ListKind, PoolEntry, PoolState
 from pearloom.policy import Controller
 from pearloom.rules.records import MOST_RULES, Avoid, Cap, Match, Prefer, Rule, RuleSet, Weigh
-from pearloom.rules.table import Place, Table
+from pearloom.rules.table import LocalContext, Table
 from tests.streams import SETTINGS
 
 CALLS, TURNS = 4_000, 15
-PLACE = Place(("a", "b", "c"), ("t", "u"), "z", {"z": frozenset({0, 1, 2}), "y": frozenset({3, 4})})
+PLACE = LocalContext(("a", "b", "c"), ("t", "u"), "z", {"z": frozenset({0, 1, 2}), "y": frozenset({3, 4})})
 
 
 def hundred() -> RuleSet:
--- a/benchmarks/store_load.py
+++ b/benchmarks/store_load.py
@@ -14,10 +14,10 @@
 from rich.console import Console
 from rich.table import Table
 
-from pearloom.agreement.pace import OwnLease
+from pearloom.coordination.pace import OwnLease
+from pearloom.fakes.fleet import Rig
 from pearloom.membership.view import paced_ms
 from pearloom.rollout.stages import tell_ms
-from pearloom.standins.fleet import Rig
 
 SECONDS, BEAT_MS, TELL_MS, LEASE_MS = 60, 2_000.0, 1_000.0, 5_000.0
 
--- a/benchmarks/undo.py
+++ b/benchmarks/undo.py
@@ -14,7 +14,7 @@
 from rich.console import Console
 from rich.table import Table
 
-from pearloom.standins.fleet import Rig
+from pearloom.fakes.fleet import Rig
 
 RULES = [{"name": "last", "effect": {"type": "avoid", "cells": [2]}}]
 
--- a/pearloom/__main__.py
+++ b/pearloom/__main__.py
@@ -27,7 +27,7 @@
 from pearloom.core.sides import CallerSide
 from pearloom.servers.coordinator import Coordinator, cached
 from pearloom.servers.directory import SIP, Directory, Maker
-from pearloom.servers.listing import Listing
+from pearloom.servers.discovery import PoolView
 from pearloom.sip.trunk import Trunk
 
 if TYPE_CHECKING:
@@ -80,7 +80,7 @@
         if installation is not None:
             sides = installation.join(self.exchange, clock, self.counters, self.callers, self.servers, makers)
         self.exchange.attach(sides, self.servers)
-        self.listing = Listing(self.exchange.told)
+        self.listing = PoolView(self.exchange.told)
         self.listing.told(api.ListKind.CACHED, cached(config.known))
         self.coordinator = Coordinator(
             config.coordinator, config.known_index, self.listing, self.counters, config.zone_names
--- a/pearloom/admin/members.py
+++ b/pearloom/admin/members.py
@@ -5,7 +5,7 @@
 from http import HTTPStatus
 
 from pearloom.admin.management import Answer, Ask, Routes
-from pearloom.agreement import Outcome
+from pearloom.coordination import Outcome
 from pearloom.membership.host import MemberHost
 from pearloom.membership.view import Condition
 
--- a/pearloom/admin/rules.py
+++ b/pearloom/admin/rules.py
@@ -19,14 +19,14 @@
 
 from pearloom.admin.management import Answer, Ask, Routes
 from pearloom.admin.writing import away, bad, conflict, write
-from pearloom.agreement import Attempt, Link, Outcome
+from pearloom.coordination import Attempt, Link, Outcome
 from pearloom.membership.host import MemberHost
 from pearloom.rollout import stages
 from pearloom.rollout.evidence import Evidence, delays_of
 from pearloom.rollout.host import RolloutHost
 from pearloom.rules import head as steps
 from pearloom.rules.check import Known, faults
-from pearloom.rules.head import Asked, There
+from pearloom.rules.head import HeadState, Request
 from pearloom.rules.host import RulesHost
 from pearloom.rules.records import FORMAT, Rule, RulesError, RuleSet, canonical
 from pearloom.rules.settings import RolloutSettings
@@ -84,7 +84,7 @@
             return away()
         return Answer(HTTPStatus.OK, "".join(f"{line}\n" for line in self._lines(there)))
 
-    def _lines(self, there: There) -> Iterator[str]:
+    def _lines(self, there: HeadState) -> Iterator[str]:
         head, followed = there.head, self._rollout.followed(there)
         yield (
             f"head={head.number} version={head.version} before={head.before}"
@@ -115,12 +115,12 @@
             )
         for step in sorted(there.log, key=lambda step: -step.number)[:SHOWN_LOG]:
             yield (
-                f"log={step.number} did={step.deed.value} version={step.version} before={step.before}"
+                f"log={step.number} did={step.write.value} version={step.version} before={step.before}"
                 f" by={step.by} author={_quoted(step.author)} reason={_quoted(step.reason)}"
                 f" at_ms={step.at_ms}"
             )
 
-    def _evidence(self, there: There) -> Iterator[str]:
+    def _evidence(self, there: HeadState) -> Iterator[str]:
         judged, unreadable, told = self._rollout.judged(there)
         assert there.head.rollout is not None, "asked for a rollout alone"
         yield from (f"unreadable={key}" for key in unreadable)
@@ -162,7 +162,7 @@
             return conflict("a rollout needs two live softswitches at least: ask for it at_once instead")
         stay = self._settings.stay if told.stay is None else told.stay
 
-        def attempt(there: There, asked: Asked, seen: int) -> Attempt:
+        def attempt(there: HeadState, asked: Request, seen: int) -> Attempt:
             begun = max(there.head.number, seen) + 1
             members = stages.members(zones, begun, wanted[0]) if wanted else ()
             terms = self._settings.terms
@@ -183,13 +183,15 @@
             told.author,
         )
 
-    def _write(self, attempt: Callable[[There, Asked, int], Attempt], reason: str, author: str) -> Answer:
+    def _write(
+        self, attempt: Callable[[HeadState, Request, int], Attempt], reason: str, author: str
+    ) -> Answer:
         """Compute, try, and compute again where others wrote in between.
 
         The tag is drawn once: that the log has it proves that this call won, whatever was lost."""
-        asked = Asked(self._member.name, secrets.token_hex(8), reason, author, int(time.time() * 1000))
+        asked = Request(self._member.name, secrets.token_hex(8), reason, author, int(time.time() * 1000))
 
-        def read() -> There | Answer:
+        def read() -> HeadState | Answer:
             there = self._rules.there
             if there is None or not self._link.fresh:
                 return away()
@@ -205,19 +207,19 @@
                 return Answer(HTTPStatus.ACCEPTED, text)
             return Answer(HTTPStatus.OK, "ok\n")
 
-        def step(there: There) -> Attempt:
+        def step(there: HeadState) -> Attempt:
             seen = self._rules.seen.number if self._rules.seen is not None else 0
             return attempt(there, asked, seen)
 
         return write(read, step, self._link.attempt, self._link.read_again, settled, RulesError)
 
 
-def _won(there: There, tag: str) -> Answer | None:
+def _won(there: HeadState, tag: str) -> Answer | None:
     """The answer to a step that the history shows."""
     step = next((one for one in there.log if one.tag == tag), None)
     if step is None:
         return None
-    return Answer(HTTPStatus.OK, f"head={step.number} did={step.deed.value} version={step.version}\n")
+    return Answer(HTTPStatus.OK, f"head={step.number} did={step.write.value} version={step.version}\n")
 
 
 def _delays(name: str, version: str, told: list[Evidence]) -> Iterator[str]:
--- a/pearloom/admin/together.py
+++ b/pearloom/admin/together.py
@@ -13,21 +13,21 @@
 from pearloom.admin.members import Members
 from pearloom.admin.rules import MOST_RULES_BYTES, Rules
 from pearloom.admin.work import Work
-from pearloom.agreement import Link, StoreSettings
-from pearloom.agreement.etcd import EtcdStore
-from pearloom.agreement.link import steady_ms
+from pearloom.coordination import Link, StoreSettings
+from pearloom.coordination.etcd import EtcdStore
+from pearloom.coordination.link import steady_ms
 from pearloom.core.config import Config
 from pearloom.core.counters import Counters
 from pearloom.core.exchange import Exchange
+from pearloom.maintenance.host import MaintenanceCallbacks, MaintenanceHost
+from pearloom.maintenance.settings import MaintenanceSettings
 from pearloom.membership.host import MemberHost
 from pearloom.rollout.host import RolloutHost
 from pearloom.rules.check import Known
 from pearloom.rules.host import RulesHost
 from pearloom.rules.settings import RulesSettings
-from pearloom.rules.table import Place
-from pearloom.servers.listing import Listing
-from pearloom.turns.host import Hands, TurnHost
-from pearloom.turns.settings import TurnSettings
+from pearloom.rules.table import LocalContext
+from pearloom.servers.discovery import PoolView
 
 LOOK_S = 0.005
 
@@ -38,12 +38,12 @@
     def __init__(
         self,
         store: StoreSettings,
-        turns: TurnSettings,
+        turns: MaintenanceSettings,
         rules: RulesSettings,
         config: Config,
         exchange: Exchange,
         counters: Counters,
-        listing: Listing,
+        listing: PoolView,
         drain: Callable[[], object],
         activate: Callable[[], object],
     ) -> None:
@@ -55,8 +55,8 @@
             self._link, counters, config.name, turns.zone, int(time.time() * 1000), turns.beat_ms,
             lambda: (exchange.decider.limits, exchange.open_calls), steady_ms,
         )  # fmt: skip
-        place = Place(config.class_names, config.tenant_names, turns.zone, self._cells())
-        self._rules = RulesHost(self._link, counters, config.name, place, rules, self._cells)
+        context = LocalContext(config.class_names, config.tenant_names, turns.zone, self._cells())
+        self._rules = RulesHost(self._link, counters, config.name, context, rules, self._cells)
         self._rollout = RolloutHost(
             self._link,
             self._member,
@@ -66,7 +66,7 @@
             lambda: exchange.decider.broken,
             steady_ms,
         )
-        hands = Hands(
+        hands = MaintenanceCallbacks(
             drain,
             activate,
             idle=lambda: not exchange.open_calls + exchange.standing_calls,
@@ -74,7 +74,7 @@
             servers=lambda: listing.listed.values(),
             halted=lambda: self._rollout.halted,
         )
-        self._turns = TurnHost(self._link, self._member, counters, turns.limits, hands, steady_ms)
+        self._turns = MaintenanceHost(self._link, self._member, counters, turns.limits, hands, steady_ms)
         self._work = Work(self._turns, config.name)
         self._members = Members(self._member)
         self._asked = Rules(self._link, self._member, self._rules, self._rollout, rules.rollout, self._known)
--- a/pearloom/admin/work.py
+++ b/pearloom/admin/work.py
@@ -18,10 +18,10 @@
 
 from pearloom.admin.management import Answer, Ask, Routes
 from pearloom.admin.writing import away, bad, write
-from pearloom.agreement import Attempt, Outcome
-from pearloom.turns import records, steps
-from pearloom.turns.host import TurnHost
-from pearloom.turns.records import FORMAT, Kind, Turn, TurnError, Turns
+from pearloom.coordination import Attempt, Outcome
+from pearloom.maintenance import records, steps
+from pearloom.maintenance.host import MaintenanceHost
+from pearloom.maintenance.records import FORMAT, Kind, MaintenanceError, Slot, Slots
 
 MOST_MACHINES = 64  # in one call
 
@@ -40,7 +40,7 @@
 class Work:
     """Answers the calls; each may wait for the store, in a greenlet of its own."""
 
-    def __init__(self, host: TurnHost, name: str) -> None:
+    def __init__(self, host: MaintenanceHost, name: str) -> None:
         """`name`: this softswitch's, noted with each request that comes here."""
         self._host, self._name = host, name
 
@@ -53,20 +53,20 @@
 
     # --- reading --------------------------------------------------------------------------------------------
     def _show(self) -> Answer:
-        turns = self._host.turns
-        if turns is None:
+        slots = self._host.slots
+        if slots is None:
             return away()
-        reasons = {held.turn.id: wait for held, wait in self._host.waiting()}
-        lines = [f"fresh={str(self._host.fleet().fresh).lower()} limits.out={turns.limits.out}"]
-        lines += [f"unreadable={key}" for key in turns.unreadable]
-        for held in sorted(turns.turns, key=lambda held: held.turn.number):
-            turn = held.turn
-            wait = reasons.get(turn.id)
-            why = wait.value if wait is not None else turn.note
+        reasons = {held.slot.id: wait for held, wait in self._host.waiting()}
+        lines = [f"fresh={str(self._host.fleet().fresh).lower()} limits.out={slots.limits.out}"]
+        lines += [f"unreadable={key}" for key in slots.unreadable]
+        for held in sorted(slots.slots, key=lambda held: held.slot.number):
+            slot = held.slot
+            wait = reasons.get(slot.id)
+            why = wait.value if wait is not None else slot.note
             lines.append(
-                f"turn={turn.id} machine={turn.machine} kind={turn.kind.value} zone={turn.zone or '-'}"
-                f" phase={turn.phase.value} urgent={str(turn.urgent).lower()} by={turn.by}"
-                f' why="{why or "-"}" reason={msgspec.json.encode(turn.reason).decode()}'
+                f"turn={slot.id} machine={slot.machine} kind={slot.kind.value} zone={slot.zone or '-'}"
+                f" phase={slot.phase.value} urgent={str(slot.urgent).lower()} by={slot.by}"
+                f' why="{why or "-"}" reason={msgspec.json.encode(slot.reason).decode()}'
             )
         return Answer(HTTPStatus.OK, "\n".join(lines) + "\n")
 
@@ -80,36 +80,36 @@
             return bad(f"machines: 1 to {MOST_MACHINES} in one call, not {len(work.machines)}")
         if len(work.reason) > 200 or not work.reason.isprintable():
             return bad("reason: has to be at most 200 printable signs")
-        fleet, asked = self._host.fleet(), list[Turn]()
+        fleet, asked = self._host.fleet(), list[Slot]()
         for at, one in enumerate(work.machines):
             machine = fleet.find(one.kind, one.name)
             if machine is None:
                 return bad(f"machines[{at}]: no {one.kind.value} {one.name[:32]!r} is known here")
-            turn = Turn(
+            slot = Slot(
                 FORMAT, secrets.token_hex(4), one.kind, one.name, machine.zone, machine.cell, work.urgent,
                 self._name, work.reason, 0,
             )  # fmt: skip
-            asked.append(turn)
-        done = self._write(lambda turns: records.request(turns, asked))
-        if done.status is HTTPStatus.ACCEPTED and (now := self._host.turns) is not None:
+            asked.append(slot)
+        done = self._write(lambda slots: records.request(slots, asked))
+        if done.status is HTTPStatus.ACCEPTED and (now := self._host.slots) is not None:
             # The ids are drawn here: that the queue has them proves it, though they have moved on since.
-            done = Answer(HTTPStatus.OK) if all(now.find(turn.id) for turn in asked) else done
+            done = Answer(HTTPStatus.OK) if all(now.find(slot.id) for slot in asked) else done
         if done.status is not HTTPStatus.OK:
             return done
-        return Answer(HTTPStatus.OK, "".join(f"turn={turn.id} machine={turn.machine}\n" for turn in asked))
+        return Answer(HTTPStatus.OK, "".join(f"turn={slot.id} machine={slot.machine}\n" for slot in asked))
 
     def _cancel(self, ask: Ask) -> Answer:
-        return self._write(lambda turns: steps.cancel(turns, ask.rest).attempt)
+        return self._write(lambda slots: steps.cancel(slots, ask.rest).attempt)
 
     def _back(self, ask: Ask) -> Answer:
-        return self._write(lambda turns: steps.come_back(turns, ask.rest).attempt)
+        return self._write(lambda slots: steps.come_back(slots, ask.rest).attempt)
 
-    def _write(self, attempt: Callable[[Turns], Attempt]) -> Answer:
-        def read() -> Turns | Answer:
-            turns = self._host.turns
-            return away() if turns is None or not self._host.fleet().fresh else turns
+    def _write(self, attempt: Callable[[Slots], Attempt]) -> Answer:
+        def read() -> Slots | Answer:
+            slots = self._host.slots
+            return away() if slots is None or not self._host.fleet().fresh else slots
 
-        return write(read, attempt, self._host.attempt, self._host.read_again, _settled, TurnError)
+        return write(read, attempt, self._host.attempt, self._host.read_again, _settled, MaintenanceError)
 
 
 def _settled(outcome: Outcome) -> Answer:
--- a/pearloom/admin/writing.py
+++ b/pearloom/admin/writing.py
@@ -7,7 +7,7 @@
 from typing import TypeVar
 
 from pearloom.admin.management import Answer
-from pearloom.agreement import Attempt, Outcome
+from pearloom.coordination import Attempt, Outcome
 
 TRIES = 5  # at a store that others write to at the same time
 T = TypeVar("T")
--- a/pearloom/agreement/etcd.py
+++ b/pearloom/coordination/etcd.py
@@ -18,7 +18,7 @@
 from gevent.threadpool import ThreadPool
 from requests.adapters import HTTPAdapter
 
-from pearloom.agreement.port import (
+from pearloom.coordination.port import (
     MOST_VALUE_BYTES,
     Attempt,
     Changes,
@@ -26,7 +26,7 @@
     Snapshot,
     StoreError,
 )
-from pearloom.agreement.settings import StoreSettings
+from pearloom.coordination.settings import StoreSettings
 
 THREADS = 6  # at once: a watch, a renewal, a beat, a count that is told, a step, an operator's call
 MOST_LINE_BYTES = 4 * 1024 * 1024  # of a watch's answer: a longer one is torn off
@@ -63,13 +63,13 @@
         return Etcd3Client(host=host, port=port, timeout=timeout, api_path="/v3/", session=session)
 
     # --- calls ----------------------------------------------------------------------------------------------
-    def _call(self, deed: Callable[[Etcd3Client], T]) -> T:
+    def _call(self, write: Callable[[Etcd3Client], T]) -> T:
         """One call in a thread; whatever goes wrong becomes a StoreError."""
         client = self._client
 
         def guarded() -> T | StoreError:
             try:
-                return deed(client)
+                return write(client)
             except (Etcd3Exception, requests.RequestException, OSError) as trouble:
                 detail = getattr(trouble, "detail_text", None) or str(trouble) or type(trouble).__name__
                 return StoreError(str(detail).strip().splitlines()[0][:200])
@@ -86,13 +86,13 @@
     def read(self) -> Snapshot:
         """All keys below the prefix, at one revision."""
 
-        def deed(client: Etcd3Client) -> Snapshot:
+        def write(client: Etcd3Client) -> Snapshot:
             payload = {"key": _text(self._prefix), "range_end": _text(_end_of(self._prefix))}
             answer = client.post(client.get_url("/kv/range"), json=payload)
             cluster, revision = self._place(answer)
             return Snapshot(cluster, revision, tuple(self._entry(kv) for kv in answer.get("kvs", ())))
 
-        return self._call(deed)
+        return self._call(write)
 
     def attempt(self, attempt: Attempt, lease: int) -> bool:
         """One transaction; False where a compare did not hold."""
@@ -107,16 +107,16 @@
                 if one.value is not None
             ],
             "success": [
-                {"request_delete_range": {"key": self._key(deed.key)}}
-                if deed.value is None
+                {"request_delete_range": {"key": self._key(write.key)}}
+                if write.value is None
                 else {
                     "request_put": {
-                        "key": self._key(deed.key),
-                        "value": _text(deed.value),
-                        **({"lease": str(lease)} if deed.lease else {}),
+                        "key": self._key(write.key),
+                        "value": _text(write.value),
+                        **({"lease": str(lease)} if write.lease else {}),
                     }
                 }
-                for deed in attempt.deeds
+                for write in attempt.writes
             ],
             "failure": [],
         }
--- a/pearloom/agreement/link.py
+++ b/pearloom/coordination/link.py
@@ -15,8 +15,8 @@
 import gevent
 from gevent.event import Event
 
-from pearloom.agreement.pace import Backoff, Freshness, Hold, OwnLease
-from pearloom.agreement.port import (
+from pearloom.coordination.pace import Backoff, Freshness, Hold, OwnLease
+from pearloom.coordination.port import (
     Attempt,
     Changes,
     Outcome,
@@ -26,7 +26,7 @@
     applied,
     took_effect,
 )
-from pearloom.agreement.settings import StoreSettings
+from pearloom.coordination.settings import StoreSettings
 from pearloom.core.counters import Counters
 from pearloom.core.logs import crashed, note
 
@@ -202,7 +202,7 @@
     # --- steps ----------------------------------------------------------------------------------------------
     def attempt(self, attempt: Attempt) -> Outcome:
         """Try one step. A lost reply is settled by reading back who won."""
-        if not self.may_act() and any(deed.lease for deed in attempt.deeds):
+        if not self.may_act() and any(write.lease for write in attempt.writes):
             return Outcome.LOST
         self._counters.add("store_attempts")
         try:
@@ -227,6 +227,6 @@
             return Outcome.UNKNOWN if took is None else Outcome.WON if took else Outcome.LOST
         return Outcome.UNKNOWN
 
-    def _quietly(self, deed: Callable[[], None]) -> None:
+    def _quietly(self, write: Callable[[], None]) -> None:
         with contextlib.suppress(StoreError):
-            deed()
+            write()
--- a/pearloom/agreement/port.py
+++ b/pearloom/coordination/port.py
@@ -66,7 +66,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Deed:
+class Write:
     """Put a value, or delete the key (`value` None); `lease`: the key ends with the own lease."""
 
     key: str
@@ -79,7 +79,7 @@
     """One optimistic transaction; its marker tells later whether it took effect, where the reply was lost."""
 
     compares: tuple[Compare, ...]
-    deeds: tuple[Deed, ...]
+    writes: tuple[Write, ...]
 
 
 class Outcome(Enum):
@@ -149,14 +149,14 @@
     True: one of its values stands where it would have put it, under a newer revision than compared with.
     None: the key was written over since, so that both are possible; the caller looks at what is there and
     goes on from that, as after a loss. Values that must be told apart carry who wrote them and a number."""
-    put = [deed for deed in attempt.deeds if deed.value is not None]
+    put = [write for write in attempt.writes if write.value is not None]
     if not put:
-        gone = all(now.find(deed.key) is None for deed in attempt.deeds)
+        gone = all(now.find(write.key) is None for write in attempt.writes)
         return True if gone else None
     compared = {compare.key: compare.mod for compare in before}
-    for deed in put:
-        entry = now.find(deed.key)
-        if entry is not None and entry.value == deed.value and entry.mod > compared.get(deed.key, 0):
+    for write in put:
+        entry = now.find(write.key)
+        if entry is not None and entry.value == write.value and entry.mod > compared.get(write.key, 0):
             return True
     untouched = all(
         (entry.mod if (entry := now.find(compare.key)) else 0) == compare.mod for compare in before
--- a/pearloom/core/account.py
+++ b/pearloom/core/account.py
@@ -11,7 +11,7 @@
 from pearloom.core.ends import End
 from pearloom.core.errors import AttemptError
 from pearloom.core.logs import note
-from pearloom.core.routing import Router, Way
+from pearloom.core.routing import CallRoute, Router
 from pearloom.core.sides import Call, Offer
 from pearloom.interface import Ending
 
@@ -27,7 +27,7 @@
         self._aims_us = [kind.aim_us for kind in classes]
         self.router: Router | None = None  # set where the fleet has routing rules
 
-    def way(self, offer: Offer) -> Way | None:
+    def way(self, offer: Offer) -> CallRoute | None:
         """The way that the rules of this moment give a call, where there are any."""
         return self.router.way(offer) if self.router is not None else None
 
--- a/pearloom/core/exchange.py
+++ b/pearloom/core/exchange.py
@@ -303,9 +303,9 @@
         self._servers.withdraw_unsent()
 
     # --- timers ---------------------------------------------------------------------------------------------
-    def after_ms(self, delay_ms: float, deed: Callable[[], None]) -> None:
+    def after_ms(self, delay_ms: float, action: Callable[[], None]) -> None:
         """Do something later."""
-        self._timers.at_ms(self._clock.now_ms() + delay_ms, deed)
+        self._timers.at_ms(self._clock.now_ms() + delay_ms, action)
 
     def run_due(self) -> None:
         """Do what is due."""
--- a/pearloom/core/routing.py
+++ b/pearloom/core/routing.py
@@ -14,7 +14,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Way:
+class CallRoute:
     """A call's way: the version of the rules that it arrived under, and what they say of it."""
 
     version: str
@@ -25,8 +25,8 @@
 class Router(Protocol):
     """Asked once for each call, at its arrival; nothing of it may wait."""
 
-    def way(self, offer: Offer) -> Way:
+    def way(self, offer: Offer) -> CallRoute:
         """The way that the rules of this moment give this call."""
 
-    def ended(self, way: Way, kind: int, end: End, took_ms: float) -> None:
+    def ended(self, way: CallRoute, kind: int, end: End, took_ms: float) -> None:
         """One end of a call that arrived under these rules; `took_ms` from its arrival."""
--- a/pearloom/core/sides.py
+++ b/pearloom/core/sides.py
@@ -15,7 +15,7 @@
 from pearloom.interface import Ending
 
 if TYPE_CHECKING:
-    from pearloom.core.routing import Way
+    from pearloom.core.routing import CallRoute
 
 
 @dataclass(slots=True)
@@ -150,4 +150,4 @@
     answered: bool = False  # the final answer was given, or none is owed
     stands: bool = False
     given_up: Ending | None = None  # the attempt that is out was given up, and its end is still to come
-    way: Way | None = None  # what the fleet's routing rules said of it at its arrival
+    way: CallRoute | None = None  # what the fleet's routing rules said of it at its arrival
--- a/pearloom/core/timers.py
+++ b/pearloom/core/timers.py
@@ -16,10 +16,10 @@
         self._waiting: list[tuple[float, int, Callable[[], None]]] = []
         self._count = 0
 
-    def at_ms(self, due_ms: float, deed: Callable[[], None]) -> None:
+    def at_ms(self, due_ms: float, action: Callable[[], None]) -> None:
         """Do something at this time."""
         self._count += 1
-        heapq.heappush(self._waiting, (due_ms, self._count, deed))
+        heapq.heappush(self._waiting, (due_ms, self._count, action))
 
     def run_due(self, now_ms: Callable[[], float]) -> None:
         """Do what is due by the time at the call; an exception stops at its deed."""
--- a/pearloom/standins/callers.py
+++ b/pearloom/fakes/callers.py
@@ -15,15 +15,15 @@
 from pearloom.core.config import Address
 from pearloom.core.errors import Malformed
 from pearloom.core.sides import Media, MediaKind, Offer
+from pearloom.fakes.journal import Journal, What
+from pearloom.fakes.rules import SLACK_MS
+from pearloom.fakes.script import Faults, Path
 from pearloom.iax2.events import Answered, Event, Failed, Gone, Heard, HungUp, Over, Rejected
 from pearloom.iax2.frames import Elements, Full, Iax, decode
 from pearloom.iax2.legs import answer_without_leg
 from pearloom.iax2.mapping import ULAW, call_elements
 from pearloom.iax2.numbers import CallNumbers
 from pearloom.iax2.out_leg import OutLeg
-from pearloom.standins.journal import Journal, What
-from pearloom.standins.rules import SLACK_MS
-from pearloom.standins.script import Faults, Path
 
 REFUSED = (34, 42, 102)  # Q.850 causes that say: trying again is harmless
 TICK_S = 0.01
--- a/pearloom/standins/coordinator.py
+++ b/pearloom/fakes/coordinator.py
@@ -9,7 +9,7 @@
 from gevent import socket
 
 from pearloom.core.config import Address
-from pearloom.standins.journal import Journal, What
+from pearloom.fakes.journal import Journal, What
 
 _FRAME = struct.Struct(">IQB")
 _RECORD = struct.Struct(">IIHBBBHIQ")
--- a/pearloom/standins/etcd/__init__.py
+++ b/pearloom/fakes/etcd/__init__.py
@@ -1,6 +1,6 @@
 """A stand-in of the published etcd v3 JSON gateway, on loopback, with faults: for tests and benchmarks."""
 
-from pearloom.standins.etcd.gateway import Gateway, StoreFaults
-from pearloom.standins.etcd.store import Compacted, KeyValueStore
+from pearloom.fakes.etcd.gateway import Gateway, StoreFaults
+from pearloom.fakes.etcd.store import Compacted, KeyValueStore
 
 __all__ = ["Compacted", "Gateway", "KeyValueStore", "StoreFaults"]
--- a/pearloom/standins/etcd/gateway.py
+++ b/pearloom/fakes/etcd/gateway.py
@@ -20,7 +20,7 @@
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
 from pearloom.core.config import Address
-from pearloom.standins.etcd.store import Change, Compacted, Held, KeyValueStore, NotFound
+from pearloom.fakes.etcd.store import Change, Compacted, Held, KeyValueStore, NotFound
 
 _BYTES = ("key", "range_end", "value")
 _NUMBERS = ("lease", "create_revision", "mod_revision", "version", "ID", "TTL", "start_revision", "revision")
--- /dev/null
+++ b/pearloom/fakes/fleet/__init__.py
@@ -0,0 +1,8 @@
+"""The fleet rig: several real softswitch processes, all that surrounds them, and faults between any two."""
+
+from pearloom.fakes.fleet.history import broken_rules, broken_slots
+from pearloom.fakes.fleet.proxy import Proxy, Toxics
+from pearloom.fakes.fleet.rig import Node, Rig
+from pearloom.fakes.fleet.script import Act, Step, play
+
+__all__ = ["Act", "Node", "Proxy", "Rig", "Step", "Toxics", "broken_rules", "broken_slots", "play"]
--- a/pearloom/standins/fleet/datagrams.py
+++ b/pearloom/fakes/fleet/datagrams.py
@@ -10,7 +10,7 @@
 from gevent import socket
 
 from pearloom.core.config import Address
-from pearloom.standins.script import Faults, Path
+from pearloom.fakes.script import Faults, Path
 
 LARGEST = 65_535
 
@@ -75,8 +75,8 @@
 def _quietly(send: Callable[[bytes], object]) -> Callable[[bytes], None]:
     """A datagram that can't be sent is lost, as any may be."""
 
-    def deed(data: bytes) -> None:
+    def action(data: bytes) -> None:
         with contextlib.suppress(OSError):
             send(data)
 
-    return deed
+    return action
--- a/pearloom/standins/fleet/history.py
+++ b/pearloom/fakes/fleet/history.py
@@ -6,7 +6,7 @@
 from collections.abc import Mapping
 from typing import Any
 
-from pearloom.standins.etcd import KeyValueStore
+from pearloom.fakes.etcd import KeyValueStore
 
 PREFIX = b"/pearloom/turns/"
 OUT = ("granted", "draining", "out", "returning")
@@ -22,24 +22,24 @@
 }
 
 
-def broken_turns(store: KeyValueStore, most_out: int) -> list[str]:
+def broken_slots(store: KeyValueStore, most_out: int) -> list[str]:
     """Each break of an invariant, in a line: too many out, a phase out of order, two grants of one life."""
     found: list[str] = []
-    turns: dict[str, Mapping[str, Any]] = {}
+    slots: dict[str, Mapping[str, Any]] = {}
     for change in store.since(1, PREFIX, b"/pearloom/turns0"):
         name = change.held.key[len(PREFIX) :].decode()
-        before = str(turns[name]["phase"]) if name in turns else ""
+        before = str(slots[name]["phase"]) if name in slots else ""
         if change.deleted:
-            turns.pop(name, None)
+            slots.pop(name, None)
             after = ""
         else:
-            turns[name] = json.loads(change.held.value)
-            after = str(turns[name]["phase"])
+            slots[name] = json.loads(change.held.value)
+            after = str(slots[name]["phase"])
         if after not in MAY_FOLLOW[before]:
             found.append(
                 f"{change.held.mod}: turn {name} went from {before or 'nothing'} to {after or 'nothing'}"
             )
-        out = [turn["machine"] for turn in turns.values() if turn["phase"] in OUT]
+        out = [slot["machine"] for slot in slots.values() if slot["phase"] in OUT]
         if len(out) > most_out:
             found.append(f"{change.held.mod}: {out} are out, {most_out} may be")
         if len(set(out)) < len(out):
--- a/pearloom/standins/fleet/rig.py
+++ b/pearloom/fakes/fleet/rig.py
@@ -25,17 +25,17 @@
 
 from pearloom.core.config import Address
 from pearloom.core.sides import Offer
-from pearloom.standins.callers import BinaryCaller
-from pearloom.standins.coordinator import Listed, StandInCoordinator
-from pearloom.standins.etcd import Gateway
-from pearloom.standins.fleet.datagrams import Datagrams
-from pearloom.standins.fleet.proxy import Proxy
-from pearloom.standins.iax2_server import Iax2Server
-from pearloom.standins.journal import Journal, What
-from pearloom.standins.rules import Report, check
-from pearloom.standins.script import Manner
-from pearloom.standins.sip_server import SipServer
-from pearloom.standins.stage import CLASSES, SETTINGS, START_S, draw_offer, free_port
+from pearloom.fakes.callers import BinaryCaller
+from pearloom.fakes.coordinator import Listed, StandInCoordinator
+from pearloom.fakes.etcd import Gateway
+from pearloom.fakes.fleet.datagrams import Datagrams
+from pearloom.fakes.fleet.proxy import Proxy
+from pearloom.fakes.iax2_server import Iax2Server
+from pearloom.fakes.journal import Journal, What
+from pearloom.fakes.rules import Report, check
+from pearloom.fakes.script import Manner
+from pearloom.fakes.sip_server import SipServer
+from pearloom.fakes.stage import CLASSES, SETTINGS, START_S, draw_offer, free_port
 
 ZONES = ("amsterdam", "dublin")
 DRIFTED = (
--- a/pearloom/standins/fleet/script.py
+++ b/pearloom/fakes/fleet/script.py
@@ -10,7 +10,7 @@
 
 import gevent
 
-from pearloom.standins.fleet.rig import Rig
+from pearloom.fakes.fleet.rig import Rig
 
 
 class Act(Enum):
--- a/pearloom/standins/fleet/simulation.py
+++ b/pearloom/fakes/fleet/simulation.py
@@ -9,11 +9,11 @@
 from dataclasses import dataclass, replace
 from random import Random
 
-from pearloom.agreement.port import Attempt, Entry, Snapshot
-from pearloom.turns import records, steps
-from pearloom.turns.order import Fleet, Machine
-from pearloom.turns.records import FORMAT, Kind, Limits, Phase, Turn
-from pearloom.turns.steps import Own
+from pearloom.coordination.port import Attempt, Entry, Snapshot
+from pearloom.maintenance import records, steps
+from pearloom.maintenance.order import Fleet, Machine
+from pearloom.maintenance.records import FORMAT, Kind, Limits, Phase, Slot
+from pearloom.maintenance.steps import Own
 
 LOOK_MS = 250.0
 
@@ -28,10 +28,10 @@
         if compare.value is not None and (found is None or found.value != compare.value):
             return None
     revision = store.revision + 1
-    for deed in attempt.deeds:
-        old = held.pop(deed.key, None)
-        if deed.value is not None:
-            held[deed.key] = Entry(deed.key, deed.value, old.create if old else revision, revision)
+    for write in attempt.writes:
+        old = held.pop(write.key, None)
+        if write.value is not None:
+            held[write.key] = Entry(write.key, write.value, old.create if old else revision, revision)
     return Snapshot(store.cluster, revision, tuple(held[key] for key in sorted(held)))
 
 
@@ -54,30 +54,30 @@
     ]
     works = {one.name: random.uniform(*work_ms) for one in fleet}
     asked = [
-        Turn(FORMAT, one.name[2:], Kind.SERVER, one.name, one.zone, "", False, "n1", "", 0) for one in fleet
+        Slot(FORMAT, one.name[2:], Kind.SERVER, one.name, one.zone, "", False, "n1", "", 0) for one in fleet
     ]
     store = Snapshot(1, 1, (Entry(records.LIMITS, records.encode(limits), 1, 1),))
-    queued = apply(store, records.request(records.read_turns(store), asked))
+    queued = apply(store, records.request(records.read_slots(store), asked))
     assert queued is not None, "nobody else writes"
     store, began, seen = queued, dict[str, float](), dict[tuple[str, int], float]()
     most_out, least, writes = 0, machines, 1
     while True:
-        turns = records.read_turns(store)
-        seen = {(one.turn.id, one.mod): seen.get((one.turn.id, one.mod), now) for one in turns.turns}
-        out = {held.turn.machine for held in turns.turns if held.turn.is_out}
+        slots = records.read_slots(store)
+        seen = {(one.slot.id, one.mod): seen.get((one.slot.id, one.mod), now) for one in slots.slots}
+        out = {held.slot.machine for held in slots.slots if held.slot.is_out}
         most_out, least = max(most_out, len(out)), min(least, machines - len(out))
-        if all(held.turn.phase is Phase.DONE for held in turns.turns):
+        if all(held.slot.phase is Phase.DONE for held in slots.slots):
             break
-        for held in turns.turns:  # a machine that is out is worked on, and comes back as another life
-            if held.turn.phase is Phase.OUT:
-                began.setdefault(held.turn.machine, now)
+        for held in slots.slots:  # a machine that is out is worked on, and comes back as another life
+            if held.slot.phase is Phase.OUT:
+                began.setdefault(held.slot.machine, now)
         fleet = [
             replace(one, incarnation=2)
             if one.name in began and now - began[one.name] >= works[one.name]
             else one
             for one in fleet
         ]
-        step = steps.next_step(turns, Fleet(tuple(fleet)), Own("n1", 1), seen, now)
+        step = steps.next_step(slots, Fleet(tuple(fleet)), Own("n1", 1), seen, now)
         if step is None:
             now += LOOK_MS
             continue
--- a/pearloom/standins/iax2_server.py
+++ b/pearloom/fakes/iax2_server.py
@@ -13,6 +13,8 @@
 
 from pearloom.core.config import Address
 from pearloom.core.errors import Malformed
+from pearloom.fakes.journal import Journal, What
+from pearloom.fakes.script import Act, Behaviour, Faults, Manner, Path
 from pearloom.iax2 import tokens
 from pearloom.iax2.events import Event, Gone, Heard, HungUp, Offered, Over
 from pearloom.iax2.frames import (
@@ -28,8 +30,6 @@
 from pearloom.iax2.in_leg import InLeg
 from pearloom.iax2.legs import answer_without_leg
 from pearloom.iax2.mapping import ULAW, answer_elements
-from pearloom.standins.journal import Journal, What
-from pearloom.standins.script import Act, Deed, Faults, Manner, Path
 
 PROTOCOL = "iax2"
 _Peer = tuple[Address, int]
@@ -136,7 +136,7 @@
             self._send(answer_without_leg(frame, Iax.CALLTOKEN, asked), source)
             return
         act = self.manner.draw(self._random)
-        if act.deed is Deed.DEAF:
+        if act.behaviour is Behaviour.DEAF:
             return
         self._next = self._next % 32_000 + 1
         leg = _ServerLeg(self._next, frame, elements, self._secret, f"{self._next:08x}", self._now())
@@ -189,13 +189,13 @@
             description if isinstance(description, bytes) else b"",
             elements.text(Element.CALLED_NUMBER) or "",
         )
-        if leg.act.deed is not Deed.MUTE:
+        if leg.act.behaviour is not Behaviour.MUTE:
             gevent.spawn_later(leg.act.after_ms / 1000.0, self._act, leg)
 
     def _act(self, leg: _ServerLeg) -> None:
         if leg.over or leg.closing or self._legs.get(leg.peer) is not leg:
             return
-        if leg.act.deed is Deed.TURN:
+        if leg.act.behaviour is Behaviour.TURN:
             self._journal.add(What.TURNED, self.server, leg.call)
             leg.reject(leg.act.cause, "", 0.0, self._now())
         else:
@@ -204,7 +204,7 @@
                 self.manner.description_bytes, b"."
             )
             elements = answer_elements(made)
-            if leg.act.deed is Deed.SPOIL or self.nameless:
+            if leg.act.behaviour is Behaviour.SPOIL or self.nameless:
                 elements = [] if self.nameless else elements[1:] or [(Element.DESCRIPTION, b"\x07x")]
                 self._journal.add(What.TURNED, self.server, leg.call)
             else:
--- a/pearloom/standins/rules.py
+++ b/pearloom/fakes/rules.py
@@ -7,7 +7,7 @@
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 
-from pearloom.standins.journal import Entry, What
+from pearloom.fakes.journal import Entry, What
 
 SLACK_MS = 50.0  # every limit on sockets is so much longer
 PAUSE_MS = 300.0  # after an attempt in doubt
--- a/pearloom/standins/script.py
+++ b/pearloom/fakes/script.py
@@ -10,7 +10,7 @@
 import gevent
 
 
-class Deed(Enum):
+class Behaviour(Enum):
     """What a session server does with a set-up."""
 
     ANSWER = "answer"
@@ -24,7 +24,7 @@
 class Act:
     """One set-up's fate."""
 
-    deed: Deed = Deed.ANSWER
+    behaviour: Behaviour = Behaviour.ANSWER
     after_ms: float = 20.0
     holds_ms: float = 2_000.0
     cause: int = 42  # Q.850, for TURN
@@ -47,16 +47,16 @@
         """The fate of the next set-up."""
         after, holds = random.uniform(*self.after_ms), random.expovariate(1.0 / self.holds_ms)
         luck, cause = random.random(), random.choice(self.causes)
-        for share, deed in (
-            (self.turns, Deed.TURN),
-            (self.mutes, Deed.MUTE),
-            (self.deaf, Deed.DEAF),
-            (self.spoils, Deed.SPOIL),
+        for share, behaviour in (
+            (self.turns, Behaviour.TURN),
+            (self.mutes, Behaviour.MUTE),
+            (self.deaf, Behaviour.DEAF),
+            (self.spoils, Behaviour.SPOIL),
         ):
             if luck < share:
-                return Act(deed, after, holds, cause)
+                return Act(behaviour, after, holds, cause)
             luck -= share
-        return Act(Deed.ANSWER, after, holds, cause)
+        return Act(Behaviour.ANSWER, after, holds, cause)
 
 
 @dataclass(frozen=True, slots=True)
--- a/pearloom/standins/sip_server.py
+++ b/pearloom/fakes/sip_server.py
@@ -11,9 +11,9 @@
 
 from pearloom.core.config import Address
 from pearloom.core.errors import Malformed
+from pearloom.fakes.journal import Journal, What
+from pearloom.fakes.script import Act, Behaviour, Manner
 from pearloom.sip import codec as sip
-from pearloom.standins.journal import Journal, What
-from pearloom.standins.script import Act, Deed, Manner
 
 PROTOCOL = "sip"
 # What a Q.850 cause of a script is in SIP.
@@ -103,13 +103,13 @@
         )
         held = self._calls[call] = _Held(request, sock, request.headers.get("cseq", ""))
         act = self.manner.draw(self._random)
-        if act.deed not in (Deed.MUTE, Deed.DEAF):
+        if act.behaviour not in (Behaviour.MUTE, Behaviour.DEAF):
             gevent.spawn_later(act.after_ms / 1000.0, self._act, call, held, act)
 
     def _act(self, call: str, held: _Held, act: Act) -> None:
         if self._calls.get(call) is not held:
             return
-        if act.deed is Deed.TURN:
+        if act.behaviour is Behaviour.TURN:
             status, why = _STATUS.get(act.cause, (500, ""))
             del self._calls[call]
             self._journal.add(What.TURNED, self.server, call)
@@ -120,7 +120,7 @@
         self._made += 1  # no two answers are alike, so that one can be told from the other
         made = f"{self.server} {call} {self._made} ".encode().ljust(self.manner.description_bytes, b".")
         held.stands = True
-        spoilt = act.deed is Deed.SPOIL
+        spoilt = act.behaviour is Behaviour.SPOIL
         if not spoilt:
             self._journal.add(What.ANSWERED, self.server, call, description=made)
         else:
--- a/pearloom/standins/stage.py
+++ b/pearloom/fakes/stage.py
@@ -19,13 +19,13 @@
 
 from pearloom.core.config import Address
 from pearloom.core.sides import Offer
-from pearloom.standins.callers import BinaryCaller, Iax2Caller
-from pearloom.standins.coordinator import Listed, StandInCoordinator
-from pearloom.standins.iax2_server import Iax2Server
-from pearloom.standins.journal import Journal
-from pearloom.standins.rules import Report, check
-from pearloom.standins.script import Faults, Manner
-from pearloom.standins.sip_server import SipServer
+from pearloom.fakes.callers import BinaryCaller, Iax2Caller
+from pearloom.fakes.coordinator import Listed, StandInCoordinator
+from pearloom.fakes.iax2_server import Iax2Server
+from pearloom.fakes.journal import Journal
+from pearloom.fakes.rules import Report, check
+from pearloom.fakes.script import Faults, Manner
+from pearloom.fakes.sip_server import SipServer
 
 CLASSES = ("open-form", "save-answers")
 WORTH_SHARE = 0.22  # of calls are of the second class
--- a/pearloom/iax2/udp.py
+++ b/pearloom/iax2/udp.py
@@ -101,9 +101,9 @@
             readable.close()
 
     @staticmethod
-    def _guarded(deed: Callable[[], None]) -> None:
+    def _guarded(action: Callable[[], None]) -> None:
         try:
-            deed()
+            action()
         except Exception:
             crashed("iax2_failed")
 
--- a/pearloom/installation.py
+++ b/pearloom/installation.py
@@ -14,8 +14,8 @@
 import gevent
 
 from pearloom.admin.management import MOST_BYTES
-from pearloom.agreement.settings import StoreSettings, read_store
 from pearloom.binary.callers import Callers
+from pearloom.coordination.settings import StoreSettings, read_store
 from pearloom.core.clock import Clock
 from pearloom.core.config import Config, ConfigError
 from pearloom.core.counters import Counters
@@ -28,22 +28,22 @@
 from pearloom.iax2.trunk import IaxTrunk
 from pearloom.records import Fields, RecordError, parse
 from pearloom.servers.directory import IAX2, SIP, Directory, Maker
-from pearloom.servers.listing import Listing
+from pearloom.servers.discovery import PoolView
 
 if TYPE_CHECKING:
     from pearloom.admin.management import Routes
     from pearloom.admin.together import Together
+    from pearloom.maintenance.settings import MaintenanceSettings
     from pearloom.rules.settings import RulesSettings
-    from pearloom.turns.settings import TurnSettings
 
 LISTEN_AGAIN_S = 0.05  # while the process before this one still has the address
 LISTEN_FOR_S = 30.0
 FAREWELL_S = 0.25  # for the last frames of legs that end with this process
 
 
-def _read_turns(fields: Fields) -> TurnSettings:
+def _read_turns(fields: Fields) -> MaintenanceSettings:
     """Loaded only where the file has the record: its library is none of the softswitch's own."""
-    from pearloom.turns.settings import read_turn_settings
+    from pearloom.maintenance.settings import read_turn_settings
 
     return read_turn_settings(fields)
 
@@ -106,19 +106,21 @@
         )
         return Fronts(callers, self.front, counters)
 
-    def routes(self, listing: Listing, drain: Callable[[], object], activate: Callable[[], object]) -> Routes:
+    def routes(
+        self, listing: PoolView, drain: Callable[[], object], activate: Callable[[], object]
+    ) -> Routes:
         """What operators can ask beside what every softswitch answers; nothing without a store."""
         if self.store is None:
             return {}
         # Loaded only here: the store's client is none of the softswitch's own libraries.
         from pearloom.admin.together import Together
+        from pearloom.maintenance.settings import MaintenanceSettings
         from pearloom.rules.settings import RulesSettings
-        from pearloom.turns.settings import TurnSettings
 
         assert self._exchange is not None, "joined first"
         self.together = Together(
             self.store,
-            self.turns or TurnSettings(),
+            self.turns or MaintenanceSettings(),
             self.rules or RulesSettings(),
             self._config,
             self._exchange,
--- a/pearloom/turns/capacity.py
+++ b/pearloom/maintenance/capacity.py
@@ -10,9 +10,9 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import replace
 
+from pearloom.maintenance.order import Machine
+from pearloom.maintenance.records import Kind
 from pearloom.membership.view import Member
-from pearloom.turns.order import Machine
-from pearloom.turns.records import Kind
 
 
 def weighed(machines: Iterable[Machine], members: Iterable[Member]) -> tuple[Machine, ...]:
--- a/pearloom/turns/host.py
+++ b/pearloom/maintenance/host.py
@@ -13,27 +13,27 @@
 import gevent
 from gevent.event import Event
 
-from pearloom.agreement import Attempt, Link, Outcome, Snapshot
-from pearloom.agreement.pace import patience_ms
+from pearloom.coordination import Attempt, Link, Outcome, Snapshot
+from pearloom.coordination.pace import patience_ms
 from pearloom.core.config import Server
 from pearloom.core.counters import Counters
 from pearloom.core.logs import crashed, note
 from pearloom.interface import PoolState
+from pearloom.maintenance import records, steps
+from pearloom.maintenance.capacity import load, weighed
+from pearloom.maintenance.order import Fleet, Machine, Wait, waits
+from pearloom.maintenance.records import Held, Kind, Limits, Phase, Slots
+from pearloom.maintenance.steps import Own, Step
+from pearloom.maintenance.trouble import zones_in_trouble
 from pearloom.membership.host import MemberHost
 from pearloom.membership.view import Condition
-from pearloom.turns import records, steps
-from pearloom.turns.capacity import load, weighed
-from pearloom.turns.order import Fleet, Machine, Wait, waits
-from pearloom.turns.records import Held, Kind, Limits, Phase, Turns
-from pearloom.turns.steps import Own, Step
-from pearloom.turns.trouble import zones_in_trouble
 
 LOOK_S = 0.25  # between looks when nothing changed: phases end by time
 LOOK_FIRST_S = 0.02  # after a change: what came with it is taken in one look
 
 
 @dataclass(frozen=True, slots=True)
-class Hands:
+class MaintenanceCallbacks:
     """What a turn does to this softswitch, and what it has to know of it."""
 
     drain: Callable[[], object]
@@ -44,7 +44,7 @@
     halted: Callable[[], bool]  # has a rollout just halted?
 
 
-class TurnHost:
+class MaintenanceHost:
     """One softswitch's part in the turns of the fleet."""
 
     def __init__(
@@ -53,7 +53,7 @@
         member: MemberHost,
         counters: Counters,
         limits: Limits,
-        hands: Hands,
+        hands: MaintenanceCallbacks,
         now_ms: Callable[[], float],
     ) -> None:
         """Takes no part before `start`."""
@@ -71,10 +71,10 @@
 
     # --- what is there --------------------------------------------------------------------------------------
     @property
-    def turns(self) -> Turns | None:
+    def slots(self) -> Slots | None:
         """As last read; None before the store was ever read."""
         snapshot = self._link.snapshot
-        return None if snapshot is None else records.read_turns(snapshot)
+        return None if snapshot is None else records.read_slots(snapshot)
 
     def fleet(self) -> Fleet:
         """All machines as this softswitch sees them now."""
@@ -92,17 +92,17 @@
             )
             for one in self._hands.servers()
         ]  # fmt: skip
-        turns = self.turns
+        slots = self.slots
         return Fleet(
             weighed(machines, view.members), self._link.fresh,
-            trouble=frozenset() if turns is None else zones_in_trouble(machines, turns),
+            trouble=frozenset() if slots is None else zones_in_trouble(machines, slots),
             halted=self._hands.halted(), load=load(view.members),
         )  # fmt: skip
 
     def waiting(self) -> list[tuple[Held, Wait | None]]:
         """The queue and what each waits for."""
-        turns = self.turns
-        return [] if turns is None else waits(turns, self.fleet())
+        slots = self.slots
+        return [] if slots is None else waits(slots, self.fleet())
 
     def read_again(self) -> None:
         """Before an operator's step is computed again."""
@@ -114,25 +114,25 @@
 
     # --- the loop -------------------------------------------------------------------------------------------
     def _changed(self, snapshot: Snapshot) -> None:
-        turns, now = records.read_turns(snapshot), self._now_ms()
-        there = {(held.turn.id, held.mod) for held in turns.turns}
+        slots, now = records.read_slots(snapshot), self._now_ms()
+        there = {(held.slot.id, held.mod) for held in slots.slots}
         self._seen_ms = {key: self._seen_ms.get(key, now) for key in there}
-        self._follow(turns)
+        self._follow(slots)
         self._wake.set()
 
-    def _follow(self, turns: Turns) -> None:
+    def _follow(self, slots: Slots) -> None:
         """Do here what the turns say: withhold, drain, take up again."""
-        held = [one.turn for one in turns.turns if one.turn.phase in (Phase.DRAINING, Phase.OUT)]
-        self._hands.withhold(turn.machine for turn in held if turn.kind is Kind.SERVER)
+        held = [one.slot for one in slots.slots if one.slot.phase in (Phase.DRAINING, Phase.OUT)]
+        self._hands.withhold(slot.machine for slot in held if slot.kind is Kind.SERVER)
         me, life = self._member.name, self._member.incarnation
         drains = any(
-            turn.kind is Kind.SOFTSWITCH and turn.machine == me and turn.grant == life
-            and not turn.note.startswith(steps.DIED)
-            for turn in held
+            slot.kind is Kind.SOFTSWITCH and slot.machine == me and slot.grant == life
+            and not slot.note.startswith(steps.DIED)
+            for slot in held
         )  # fmt: skip
         if drains != self._drains:
             self._drains = drains
-            note(logging.INFO, "turn_drains" if drains else "turn_over", softswitch=me)
+            note(logging.INFO, "maintenance_drains" if drains else "maintenance_over", softswitch=me)
             (self._hands.drain if drains else self._hands.activate)()
 
     def _run(self) -> None:
@@ -144,19 +144,19 @@
                 self._member.look_again()
                 self._once()
             except Exception:
-                crashed("turns_failed")
+                crashed("maintenance_failed")
 
     def _once(self) -> None:
-        turns = self.turns
-        if turns is None or not self._link.may_act() or not self._link.fresh:
+        slots = self.slots
+        if slots is None or not self._link.may_act() or not self._link.fresh:
             return
-        adopted = records.adopt(turns, self._limits)
+        adopted = records.adopt(slots, self._limits)
         if adopted is not None:
             self._link.attempt(adopted)
             return
         idle = self._drains and self._hands.idle()
         own = Own(self._member.name, self._member.incarnation, idle, self._link.may_act())
-        step = steps.next_step(turns, self.fleet(), own, self._seen_ms, self._now_ms())
+        step = steps.next_step(slots, self.fleet(), own, self._seen_ms, self._now_ms())
         if step is None:
             self._tried.clear()
         elif self._is_time(step):
@@ -164,17 +164,17 @@
 
     def _is_time(self, step: Step) -> bool:
         """Own steps at once; those that anybody may do after the others before this one had their time."""
-        now, key = self._now_ms(), (step.turn, step.to)
+        now, key = self._now_ms(), (step.slot, step.to)
         first = self._tried.setdefault(key, now)
         acting = [member.name for member in self._member.view.acting]
         mine = step.machine == self._member.name and step.to is not Phase.GRANTED
-        return mine or now - first >= patience_ms(step.turn, self._member.name, acting)
+        return mine or now - first >= patience_ms(step.slot, self._member.name, acting)
 
     def _try(self, step: Step) -> None:
         # Asked again directly before the deed: this process may have slept since the step was computed.
         outcome = self._link.attempt(step.attempt) if self._link.may_act() else Outcome.LOST
         self._tried.clear()
-        self._counters.add(f"turn_steps_{outcome.value}")
+        self._counters.add(f"maintenance_steps_{outcome.value}")
         if outcome is Outcome.WON:
             to = step.to.value if step.to else "deleted"
-            note(logging.INFO, "turn", turn=step.turn, machine=step.machine, to=to, why=step.why)
+            note(logging.INFO, "maintenance", slot=step.slot, machine=step.machine, to=to, why=step.why)
--- a/pearloom/turns/order.py
+++ b/pearloom/maintenance/order.py
@@ -19,7 +19,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from pearloom.turns.records import Held, Kind, Phase, Turn, Turns
+from pearloom.maintenance.records import Held, Kind, Phase, Slot, Slots
 
 
 class Wait(Enum):
@@ -66,27 +66,27 @@
         return next((one for one in self.machines if one.kind is kind and one.name == name), None)
 
 
-def out(turns: Turns, fleet: Fleet) -> list[tuple[Kind, str, str, str]]:
+def out(slots: Slots, fleet: Fleet) -> list[tuple[Kind, str, str, str]]:
     """All machines that are out, on their turn or not: kind, name, zone, cell; each once."""
     found = {
         (one.kind, one.name): (one.kind, one.name, one.zone, one.cell)
         for one in fleet.machines
         if not one.ready
     }
-    for held in turns.turns:
-        turn = held.turn
-        if turn.is_out:
-            found[turn.kind, turn.machine] = (turn.kind, turn.machine, turn.zone, turn.cell)
+    for held in slots.slots:
+        slot = held.slot
+        if slot.is_out:
+            found[slot.kind, slot.machine] = (slot.kind, slot.machine, slot.zone, slot.cell)
     return list(found.values())
 
 
 class _Room:
     """What is out and what remains, counted once for all turns that wait."""
 
-    def __init__(self, turns: Turns, fleet: Fleet) -> None:
-        self._limits, self._trouble, self._load = turns.limits, fleet.trouble, fleet.load
+    def __init__(self, slots: Slots, fleet: Fleet) -> None:
+        self._limits, self._trouble, self._load = slots.limits, fleet.trouble, fleet.load
         self._machines = {(one.kind, one.name): one for one in fleet.machines}
-        gone = out(turns, fleet)
+        gone = out(slots, fleet)
         self._out = len(gone)
         self._zones = Counter(zone for _, _, zone, _ in gone)
         self._cells = Counter(cell for _, _, _, cell in gone)
@@ -96,65 +96,65 @@
             self._whole[one.kind] += one.capacity
             self._remains[one.kind] += 0.0 if (one.kind, one.name) in names else one.capacity
 
-    def forbids(self, turn: Turn) -> Wait | None:
+    def forbids(self, slot: Slot) -> Wait | None:
         """What forbids this turn to begin by itself, whoever else waits."""
-        limits, machine = self._limits, self._machines.get((turn.kind, turn.machine))
+        limits, machine = self._limits, self._machines.get((slot.kind, slot.machine))
         if machine is None:
             return Wait.UNKNOWN
         if not machine.ready:
             return Wait.AWAY
         if self._out >= limits.out:
             return Wait.ALL
-        if self._zones[turn.zone] >= limits.out_zone:
+        if self._zones[slot.zone] >= limits.out_zone:
             return Wait.ZONE
-        if turn.cell and self._cells[turn.cell] >= limits.out_cell:
+        if slot.cell and self._cells[slot.cell] >= limits.out_cell:
             return Wait.CELL
         if self._trouble:
             return Wait.TROUBLE
-        remains = self._remains[turn.kind] - machine.capacity
+        remains = self._remains[slot.kind] - machine.capacity
         # What is out now has to fit as well, however low the floor is set.
-        if remains < max(limits.floor * self._whole[turn.kind], self._load):
+        if remains < max(limits.floor * self._whole[slot.kind], self._load):
             return Wait.FLOOR
         return None
 
 
-def queue(turns: Turns) -> list[Held]:
+def queue(slots: Slots) -> list[Held]:
     """Those that wait, in the order in which they are looked at."""
-    last = turns.gate.last_zone
+    last = slots.gate.last_zone
 
     def place(held: Held) -> tuple[bool, bool, int, str]:
-        turn = held.turn
-        return not turn.urgent, bool(last) and turn.zone == last, turn.number, turn.id
+        slot = held.slot
+        return not slot.urgent, bool(last) and slot.zone == last, slot.number, slot.id
 
-    return sorted((held for held in turns.turns if held.turn.phase is Phase.WAITING), key=place)
+    return sorted((held for held in slots.slots if held.slot.phase is Phase.WAITING), key=place)
 
 
-def waits(turns: Turns, fleet: Fleet) -> list[tuple[Held, Wait | None]]:
+def waits(slots: Slots, fleet: Fleet) -> list[tuple[Held, Wait | None]]:
     """The queue, and what each waits for; None: this one is next, and there is one such at most."""
     found: list[tuple[Held, Wait | None]] = []
-    every, room = _everything(turns, fleet), _Room(turns, fleet)
+    every, room = _everything(slots, fleet), _Room(slots, fleet)
     held_up: set[str] = set()
     urgent_waits = granted = False
-    for held in queue(turns):
-        reason = every or room.forbids(held.turn)
+    for held in queue(slots):
+        reason = every or room.forbids(held.slot)
         if reason is None and (
-            granted or held.turn.zone in held_up or (urgent_waits and not held.turn.urgent)
+            granted or held.slot.zone in held_up or (urgent_waits and not held.slot.urgent)
         ):
             reason = Wait.BEHIND
         if reason is None:
             granted = True
         elif reason not in (Wait.UNKNOWN, Wait.AWAY):
-            held_up.add(held.turn.zone)
-            urgent_waits |= held.turn.urgent
+            held_up.add(held.slot.zone)
+            urgent_waits |= held.slot.urgent
         found.append((held, reason))
     return found
 
 
-def _everything(turns: Turns, fleet: Fleet) -> Wait | None:
+def _everything(slots: Slots, fleet: Fleet) -> Wait | None:
     """What forbids every turn to begin."""
     checks: Sequence[tuple[Callable[[], bool], Wait]] = (
         (lambda: not fleet.fresh, Wait.STALE),
-        (lambda: bool(turns.unreadable), Wait.UNREADABLE),
+        (lambda: bool(slots.unreadable), Wait.UNREADABLE),
         (lambda: fleet.halted, Wait.HALTED),
     )
     return next((wait for holds, wait in checks if holds()), None)
--- a/pearloom/turns/records.py
+++ b/pearloom/maintenance/records.py
@@ -12,16 +12,16 @@
 
 import msgspec
 
-from pearloom.agreement.port import Attempt, Compare, Deed, Snapshot
-from pearloom.agreement.values import decoded
+from pearloom.coordination.port import Attempt, Compare, Snapshot, Write
+from pearloom.coordination.values import decoded
 
 TURNS, GATE, LIMITS = "turns/", "turns-gate", "turns-limits"
 FORMAT = 1
-MOST_TURNS = 512  # that the queue holds: a request beyond is refused
+MOST_SLOTS = 512  # that the queue holds: a request beyond is refused
 MOST_NAME = 64
 
 
-class TurnError(ValueError):
+class MaintenanceError(ValueError):
     """A request that can't be taken; the text is one line for the operator."""
 
 
@@ -46,7 +46,7 @@
 COUNTS_AS_OUT = frozenset({Phase.GRANTED, Phase.DRAINING, Phase.OUT, Phase.RETURNING})
 
 
-class Turn(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+class Slot(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """One machine's turn. `grant`: the machine's incarnation at the grant; another one is another life."""
 
     format: int
@@ -85,7 +85,7 @@
     requests: int = 0
     last_zone: str = ""
     freed: int = 0  # turns that are out no more
-    last_turn: str = ""
+    last_slot: str = ""
 
 
 class Limits(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -106,21 +106,21 @@
 class Held:
     """A turn as it is in the store, and the revision and value that the next step compares with."""
 
-    turn: Turn
+    slot: Slot
     mod: int
     value: bytes
 
     @property
     def compare(self) -> Compare:
         """It is still what was read."""
-        return Compare(self.turn.key, self.mod, self.value)
+        return Compare(self.slot.key, self.mod, self.value)
 
 
 @dataclass(frozen=True, slots=True)
-class Turns:
+class Slots:
     """All that the store holds of turns."""
 
-    turns: tuple[Held, ...] = ()
+    slots: tuple[Held, ...] = ()
     gate: Gate = field(default_factory=Gate)
     gate_mod: int = 0
     limits: Limits = field(default_factory=Limits)
@@ -139,26 +139,26 @@
         """The limits are those that were read."""
         return Compare(LIMITS, self.limits_mod, self.limits_value)
 
-    def find(self, turn: str) -> Held | None:
+    def find(self, slot: str) -> Held | None:
         """The turn of this id."""
-        return next((held for held in self.turns if held.turn.id == turn), None)
+        return next((held for held in self.slots if held.slot.id == slot), None)
 
 
-def read_turns(snapshot: Snapshot) -> Turns:
+def read_slots(snapshot: Snapshot) -> Slots:
     """Read all; what can't be read is named, and no turn is granted while there is any of it."""
-    turns, unreadable = [], []
+    slots, unreadable = [], []
     for entry in snapshot.below(TURNS):
-        turn = decoded(entry.value, Turn, FORMAT)
-        if turn is None or turn.key != entry.key:
+        slot = decoded(entry.value, Slot, FORMAT)
+        if slot is None or slot.key != entry.key:
             unreadable.append(entry.key)
         else:
-            turns.append(Held(turn, entry.mod, entry.value))
+            slots.append(Held(slot, entry.mod, entry.value))
     gate_entry, limits_entry = snapshot.find(GATE), snapshot.find(LIMITS)
     gate = decoded(gate_entry.value, Gate, FORMAT) if gate_entry else Gate()
     limits = decoded(limits_entry.value, Limits, FORMAT) if limits_entry else Limits()
     unreadable += [key for key, found in ((GATE, gate), (LIMITS, limits)) if found is None]
-    return Turns(
-        tuple(turns),
+    return Slots(
+        tuple(slots),
         gate or Gate(),
         gate_entry.mod if gate_entry else 0,
         limits or Limits(out=0),
@@ -169,44 +169,46 @@
     )
 
 
-def encode(value: Turn | Gate | Limits) -> bytes:
+def encode(value: Slot | Gate | Limits) -> bytes:
     """As it is put into the store."""
     return msgspec.json.encode(value)
 
 
-def moved(held: Held, **changes: object) -> tuple[Compare, Deed]:
+def moved(held: Held, **changes: object) -> tuple[Compare, Write]:
     """The parts of a step that change one turn."""
-    turn = msgspec.structs.replace(held.turn, **changes)
-    return held.compare, Deed(held.turn.key, encode(turn))
+    slot = msgspec.structs.replace(held.slot, **changes)
+    return held.compare, Write(held.slot.key, encode(slot))
 
 
-def request(there: Turns, asked: list[Turn]) -> Attempt:
+def request(there: Slots, asked: list[Slot]) -> Attempt:
     """Put these into the queue, in this order; a TurnError says what is wrong with them.
 
     The gate gives each its number, so that two operators at two softswitches get one order."""
     if there.unreadable:
-        raise TurnError(f"{there.unreadable[0]} in the store can't be read: nothing is begun until it can")
-    open_turns = [held.turn for held in there.turns if held.turn.phase is not Phase.DONE]
-    if len(open_turns) + len(asked) > MOST_TURNS:
-        raise TurnError(f"the queue holds {len(open_turns)} of {MOST_TURNS} turns: it is full")
-    names = [(turn.kind, turn.machine) for turn in asked]
+        raise MaintenanceError(
+            f"{there.unreadable[0]} in the store can't be read: nothing is begun until it can"
+        )
+    open_slots = [held.slot for held in there.slots if held.slot.phase is not Phase.DONE]
+    if len(open_slots) + len(asked) > MOST_SLOTS:
+        raise MaintenanceError(f"the queue holds {len(open_slots)} of {MOST_SLOTS} turns: it is full")
+    names = [(slot.kind, slot.machine) for slot in asked]
     if len(set(names)) < len(names):
-        raise TurnError("a machine is named twice")
-    for turn in open_turns:
-        if (turn.kind, turn.machine) in names:
-            raise TurnError(f"{turn.machine} has turn {turn.id} already, which is {turn.phase.value}")
+        raise MaintenanceError("a machine is named twice")
+    for slot in open_slots:
+        if (slot.kind, slot.machine) in names:
+            raise MaintenanceError(f"{slot.machine} has turn {slot.id} already, which is {slot.phase.value}")
     gate = msgspec.structs.replace(there.gate, requests=there.gate.requests + len(asked))
-    compares, deeds = [there.gate_compare], [Deed(GATE, encode(gate))]
-    for number, turn in enumerate(asked, there.gate.requests + 1):
-        if not 0 < len(turn.machine) <= MOST_NAME:
-            raise TurnError(f"a machine's name has 1 to {MOST_NAME} signs")
-        compares.append(Compare(turn.key, 0))
-        deeds.append(Deed(turn.key, encode(msgspec.structs.replace(turn, number=number))))
-    return Attempt(tuple(compares), tuple(deeds))
+    compares, writes = [there.gate_compare], [Write(GATE, encode(gate))]
+    for number, slot in enumerate(asked, there.gate.requests + 1):
+        if not 0 < len(slot.machine) <= MOST_NAME:
+            raise MaintenanceError(f"a machine's name has 1 to {MOST_NAME} signs")
+        compares.append(Compare(slot.key, 0))
+        writes.append(Write(slot.key, encode(msgspec.structs.replace(slot, number=number))))
+    return Attempt(tuple(compares), tuple(writes))
 
 
-def adopt(there: Turns, own: Limits) -> Attempt | None:
+def adopt(there: Slots, own: Limits) -> Attempt | None:
     """Put the own file's limits into the store, if they are of a higher edition than what is there."""
     if there.limits_mod and own.edition <= there.limits.edition or LIMITS in there.unreadable:
         return None
-    return Attempt((there.limits_compare,), (Deed(LIMITS, encode(own)),))
+    return Attempt((there.limits_compare,), (Write(LIMITS, encode(own)),))
--- a/pearloom/turns/settings.py
+++ b/pearloom/maintenance/settings.py
@@ -4,14 +4,14 @@
 
 from dataclasses import dataclass, field
 
+from pearloom.maintenance.records import FORMAT, Limits
 from pearloom.records import Fields
-from pearloom.turns.records import FORMAT, Limits
 
 _ZONE = r"[A-Za-z0-9._-]{1,64}"
 
 
 @dataclass(frozen=True, slots=True)
-class TurnSettings:
+class MaintenanceSettings:
     """What the operator says of turns."""
 
     zone: str = ""  # this softswitch's own
@@ -19,7 +19,7 @@
     limits: Limits = field(default_factory=Limits)
 
 
-def read_turn_settings(fields: Fields) -> TurnSettings:
+def read_turn_settings(fields: Fields) -> MaintenanceSettings:
     """The record `turns`; a RecordError says what is wrong and where."""
     base = Limits()
     count = fields.number
@@ -34,7 +34,7 @@
         drain_ms=float(count("drain_ms", base.drain_ms, 1_000, 3_600_000)),
         settle_ms=float(count("settle_ms", base.settle_ms, 0, 600_000)),
     )
-    return TurnSettings(
+    return MaintenanceSettings(
         zone=fields.text("zone", "", _ZONE, "a zone's name"),
         beat_ms=float(count("beat_ms", 2_000, 200, 60_000)),
         limits=limits,
--- a/pearloom/turns/steps.py
+++ b/pearloom/maintenance/steps.py
@@ -25,9 +25,9 @@
 
 import msgspec
 
-from pearloom.agreement.port import Attempt, Deed
-from pearloom.turns.order import Fleet, Machine, waits
-from pearloom.turns.records import GATE, Held, Kind, Phase, TurnError, Turns, encode, moved
+from pearloom.coordination.port import Attempt, Write
+from pearloom.maintenance.order import Fleet, Machine, waits
+from pearloom.maintenance.records import GATE, Held, Kind, MaintenanceError, Phase, Slots, encode, moved
 
 DIED = "died on its "  # how the notes of those begin that did
 KEEP_MS = 60_000.0  # a turn that is done is shown for so long
@@ -37,7 +37,7 @@
 class Step:
     """One step to try: what it does, in a line of the log's words, and the transaction."""
 
-    turn: str
+    slot: str
     machine: str
     to: Phase | None  # None: the record goes
     why: str
@@ -55,7 +55,7 @@
 
 
 def next_step(
-    turns: Turns, fleet: Fleet, own: Own, seen_ms: Mapping[tuple[str, int], float], now_ms: float
+    slots: Slots, fleet: Fleet, own: Own, seen_ms: Mapping[tuple[str, int], float], now_ms: float
 ) -> Step | None:
     """The one step to try now; `seen_ms`: when each turn was first seen here at its present revision.
 
@@ -63,60 +63,60 @@
     if not own.may_act or not fleet.fresh:
         return None
     machines = {(one.kind, one.name): one for one in fleet.machines}
-    for held in turns.turns:
-        since = now_ms - seen_ms.get((held.turn.id, held.mod), now_ms)
-        machine = machines.get((held.turn.kind, held.turn.machine))
-        if (step := _onward(held, machine, own, turns, since)) is not None:
+    for held in slots.slots:
+        since = now_ms - seen_ms.get((held.slot.id, held.mod), now_ms)
+        machine = machines.get((held.slot.kind, held.slot.machine))
+        if (step := _onward(held, machine, own, slots, since)) is not None:
             return step
-    for held, reason in waits(turns, fleet):
+    for held, reason in waits(slots, fleet):
         if reason is None:
-            return _grant(held, turns, fleet)
+            return _grant(held, slots, fleet)
     return None
 
 
 def _step(held: Held, to: Phase, why: str, **changes: object) -> Step:
-    compare, deed = moved(held, phase=to, note=why, **changes)
-    return Step(held.turn.id, held.turn.machine, to, why, Attempt((compare,), (deed,)))
+    compare, write = moved(held, phase=to, note=why, **changes)
+    return Step(held.slot.id, held.slot.machine, to, why, Attempt((compare,), (write,)))
 
 
-def _free(held: Held, turns: Turns, to: Phase, why: str, **changes: object) -> Step:
+def _free(held: Held, slots: Slots, to: Phase, why: str, **changes: object) -> Step:
     """A step after which the machine counts as out no more: who counts on its room compares with the gate.
 
     Guards against a grant into room that a store has taken back by losing this very write."""
-    compare, deed = moved(held, phase=to, note=why, **changes)
-    gate = msgspec.structs.replace(turns.gate, freed=turns.gate.freed + 1, last_turn=held.turn.id)
-    attempt = Attempt((compare, turns.gate_compare), (deed, Deed(GATE, encode(gate))))
-    return Step(held.turn.id, held.turn.machine, to, why, attempt)
+    compare, write = moved(held, phase=to, note=why, **changes)
+    gate = msgspec.structs.replace(slots.gate, freed=slots.gate.freed + 1, last_slot=held.slot.id)
+    attempt = Attempt((compare, slots.gate_compare), (write, Write(GATE, encode(gate))))
+    return Step(held.slot.id, held.slot.machine, to, why, attempt)
 
 
-def _grant(held: Held, turns: Turns, fleet: Fleet) -> Step:
-    machine = fleet.find(held.turn.kind, held.turn.machine)
+def _grant(held: Held, slots: Slots, fleet: Fleet) -> Step:
+    machine = fleet.find(held.slot.kind, held.slot.machine)
     assert machine is not None, "a turn that may begin has its machine in the fleet"
     gate = msgspec.structs.replace(
-        turns.gate, grants=turns.gate.grants + 1, last_zone=held.turn.zone, last_turn=held.turn.id
+        slots.gate, grants=slots.gate.grants + 1, last_zone=held.slot.zone, last_slot=held.slot.id
     )
-    compare, deed = moved(held, phase=Phase.GRANTED, note="next", grant=machine.incarnation)
+    compare, write = moved(held, phase=Phase.GRANTED, note="next", grant=machine.incarnation)
     # The gate is compared too: two that each see room for one more can't both take it. So are the limits.
     attempt = Attempt(
-        (compare, turns.gate_compare, turns.limits_compare),
-        (deed, Deed(GATE, encode(gate))),
+        (compare, slots.gate_compare, slots.limits_compare),
+        (write, Write(GATE, encode(gate))),
     )
-    return Step(held.turn.id, held.turn.machine, Phase.GRANTED, "next", attempt)
+    return Step(held.slot.id, held.slot.machine, Phase.GRANTED, "next", attempt)
 
 
-def _onward(held: Held, machine: Machine | None, own: Own, turns: Turns, since_ms: float) -> Step | None:
+def _onward(held: Held, machine: Machine | None, own: Own, slots: Slots, since_ms: float) -> Step | None:
     """The step of a turn that has begun, if there is one."""
-    turn, limits = held.turn, turns.limits
+    slot, limits = held.slot, slots.limits
     away = machine is None or not machine.ready
     reborn = _reborn(held, machine)
-    match turn.phase:
+    match slot.phase:
         case Phase.GRANTED:
             if away or reborn:
                 return _step(held, Phase.OUT, DIED + "turn")
-            if turn.kind is Kind.SERVER or _mine(held, own):
+            if slot.kind is Kind.SERVER or _mine(held, own):
                 return _step(held, Phase.DRAINING, "taken up")
             if since_ms > limits.take_up_ms:
-                return _free(held, turns, Phase.WAITING, "not taken up", grant=0)
+                return _free(held, slots, Phase.WAITING, "not taken up", grant=0)
         case Phase.DRAINING:
             if away or reborn:
                 return _step(held, Phase.OUT, DIED + "turn")
@@ -125,53 +125,53 @@
             if since_ms > limits.drain_ms:
                 return _step(held, Phase.OUT, "drained for long enough")
         case Phase.OUT:
-            if not away and (reborn or turn.note.startswith(DIED)):
+            if not away and (reborn or slot.note.startswith(DIED)):
                 return _step(held, Phase.RETURNING, "ready again")
         case Phase.RETURNING:
             if away:
                 return _step(held, Phase.OUT, DIED + "return")
             if since_ms > limits.settle_ms:
-                return _free(held, turns, Phase.DONE, "settled")
+                return _free(held, slots, Phase.DONE, "settled")
         case Phase.DONE if since_ms > KEEP_MS:
-            gone = Attempt((held.compare,), (Deed(turn.key, None),))
-            return Step(turn.id, turn.machine, None, "forgotten", gone)
+            gone = Attempt((held.compare,), (Write(slot.key, None),))
+            return Step(slot.id, slot.machine, None, "forgotten", gone)
     return None
 
 
 def _mine(held: Held, own: Own) -> bool:
     """Is it this softswitch's own turn, granted in this very life?"""
-    turn = held.turn
-    return turn.kind is Kind.SOFTSWITCH and turn.machine == own.name and turn.grant == own.incarnation
+    slot = held.slot
+    return slot.kind is Kind.SOFTSWITCH and slot.machine == own.name and slot.grant == own.incarnation
 
 
 def _reborn(held: Held, machine: Machine | None) -> bool:
     """Is the machine in another life than the one to which the turn was granted?"""
-    return machine is not None and machine.incarnation != held.turn.grant
+    return machine is not None and machine.incarnation != held.slot.grant
 
 
-def cancel(turns: Turns, turn: str) -> Step:
+def cancel(slots: Slots, slot: str) -> Step:
     """The operator takes a request back: one that waits goes, one that has begun returns."""
-    held = _held(turns, turn)
-    match held.turn.phase:
+    held = _held(slots, slot)
+    match held.slot.phase:
         case Phase.WAITING | Phase.DONE:
-            gone = Attempt((held.compare,), (Deed(held.turn.key, None),))
-            return Step(turn, held.turn.machine, None, "cancelled", gone)
+            gone = Attempt((held.compare,), (Write(held.slot.key, None),))
+            return Step(slot, held.slot.machine, None, "cancelled", gone)
         case Phase.GRANTED | Phase.DRAINING:
             return _step(held, Phase.RETURNING, "cancelled")
         case phase:
-            raise TurnError(f"turn {turn} is {phase.value}: say that its machine is back instead")
+            raise MaintenanceError(f"turn {slot} is {phase.value}: say that its machine is back instead")
 
 
-def come_back(turns: Turns, turn: str) -> Step:
+def come_back(slots: Slots, slot: str) -> Step:
     """The operator says that a machine that is out is back, where nothing else shows it."""
-    held = _held(turns, turn)
-    if held.turn.phase is not Phase.OUT:
-        raise TurnError(f"turn {turn} is {held.turn.phase.value}, not out")
+    held = _held(slots, slot)
+    if held.slot.phase is not Phase.OUT:
+        raise MaintenanceError(f"turn {slot} is {held.slot.phase.value}, not out")
     return _step(held, Phase.RETURNING, "back, as the operator says")
 
 
-def _held(turns: Turns, turn: str) -> Held:
-    held = turns.find(turn)
+def _held(slots: Slots, slot: str) -> Held:
+    held = slots.find(slot)
     if held is None:
-        raise TurnError(f"there is no turn {turn[:16]}")
+        raise MaintenanceError(f"there is no turn {slot[:16]}")
     return held
--- a/pearloom/turns/trouble.py
+++ b/pearloom/maintenance/trouble.py
@@ -9,16 +9,16 @@
 from collections import Counter
 from collections.abc import Iterable
 
-from pearloom.turns.order import Machine
-from pearloom.turns.records import Turns
+from pearloom.maintenance.order import Machine
+from pearloom.maintenance.records import Slots
 
 LEAST_AWAY = 2  # machines of a zone: one alone is a failure of its own
 SHARE_AWAY = 0.25  # of the zone's machines
 
 
-def zones_in_trouble(machines: Iterable[Machine], turns: Turns) -> frozenset[str]:
+def zones_in_trouble(machines: Iterable[Machine], slots: Slots) -> frozenset[str]:
     """The zones of which so many machines are away without a turn of their own; `""` stands for no zone."""
-    on_turn = {(held.turn.kind, held.turn.machine) for held in turns.turns if held.turn.is_out}
+    on_turn = {(held.slot.kind, held.slot.machine) for held in slots.slots if held.slot.is_out}
     whole, away = Counter[str](), Counter[str]()
     for machine in machines:
         whole[machine.zone] += 1
--- a/pearloom/membership/host.py
+++ b/pearloom/membership/host.py
@@ -10,7 +10,7 @@
 
 import gevent
 
-from pearloom.agreement import Link, Outcome, Snapshot
+from pearloom.coordination import Link, Outcome, Snapshot
 from pearloom.core.counters import Counters
 from pearloom.core.logs import crashed, note
 from pearloom.membership.view import (
--- a/pearloom/membership/view.py
+++ b/pearloom/membership/view.py
@@ -16,8 +16,8 @@
 
 import msgspec
 
-from pearloom.agreement.port import Attempt, Compare, Deed, Entry, Snapshot
-from pearloom.agreement.values import decoded
+from pearloom.coordination.port import Attempt, Compare, Entry, Snapshot, Write
+from pearloom.coordination.values import decoded
 
 MEMBERS, ROSTER = "members/", "roster/"
 MOST_GATES = 512  # that one member tells of
@@ -158,12 +158,12 @@
     The compare is on what was read, so that of two processes under one name the later one sees the other."""
     member, roster = snapshot.find(MEMBERS + name), snapshot.find(ROSTER + name)
     stays = msgspec.json.encode(RosterEntry(FORMAT, facts.incarnation, facts.zone))
-    deeds = [Deed(MEMBERS + name, msgspec.json.encode(facts), lease=True)]
+    writes = [Write(MEMBERS + name, msgspec.json.encode(facts), lease=True)]
     compares = [Compare(MEMBERS + name, member.mod if member else 0)]
     if roster is None or roster.value != stays:
         compares.append(Compare(ROSTER + name, roster.mod if roster else 0))
-        deeds.append(Deed(ROSTER + name, stays))
-    return Attempt(tuple(compares), tuple(deeds))
+        writes.append(Write(ROSTER + name, stays))
+    return Attempt(tuple(compares), tuple(writes))
 
 
 def leave(snapshot: Snapshot, name: str) -> Attempt | None:
@@ -172,7 +172,8 @@
     if not keys:
         return None
     return Attempt(
-        tuple(Compare(entry.key, entry.mod) for entry in keys), tuple(Deed(entry.key, None) for entry in keys)
+        tuple(Compare(entry.key, entry.mod) for entry in keys),
+        tuple(Write(entry.key, None) for entry in keys),
     )
 
 
--- a/pearloom/rollout/confirm.py
+++ b/pearloom/rollout/confirm.py
@@ -7,8 +7,8 @@
 
 import msgspec
 
-from pearloom.agreement.port import Attempt, Compare, Deed, Snapshot
-from pearloom.agreement.values import decoded
+from pearloom.coordination.port import Attempt, Compare, Snapshot, Write
+from pearloom.coordination.values import decoded
 
 CONFIRMED = "rules/at/"
 FORMAT = 1
@@ -55,7 +55,7 @@
     if entry is not None and entry.value == value:
         return None
     compare = Compare(CONFIRMED + name, entry.mod if entry is not None else 0)
-    return Attempt((compare,), (Deed(CONFIRMED + name, value),))
+    return Attempt((compare,), (Write(CONFIRMED + name, value),))
 
 
 def followed(
--- a/pearloom/rollout/evidence.py
+++ b/pearloom/rollout/evidence.py
@@ -17,8 +17,8 @@
 import msgspec
 from hdrh.histogram import HdrHistogram
 
-from pearloom.agreement.port import Snapshot
-from pearloom.agreement.values import decoded
+from pearloom.coordination.port import Snapshot
+from pearloom.coordination.values import decoded
 from pearloom.core.ends import End
 
 EVIDENCE = "evidence/"
--- a/pearloom/rollout/guard.py
+++ b/pearloom/rollout/guard.py
@@ -43,7 +43,7 @@
 
 
 @dataclass(slots=True)
-class Own:
+class LocalGuard:
     """Ends of this softswitch's own calls, by version and class; kept over stages, bounded by forgetting."""
 
     classes: Sequence[str]
--- a/pearloom/rollout/host.py
+++ b/pearloom/rollout/host.py
@@ -14,8 +14,8 @@
 import gevent
 from gevent.event import Event
 
-from pearloom.agreement import Attempt, Compare, Deed, Link, Outcome, Snapshot
-from pearloom.agreement.pace import patience_ms, rank
+from pearloom.coordination import Attempt, Compare, Link, Outcome, Snapshot, Write
+from pearloom.coordination.pace import patience_ms, rank
 from pearloom.core.counters import Counters
 from pearloom.core.ends import End
 from pearloom.core.logs import crashed, note
@@ -23,9 +23,9 @@
 from pearloom.rollout import confirm, evidence, stages, steps
 from pearloom.rollout.confirm import Confirmation, Followed
 from pearloom.rollout.evidence import BUCKETS, Evidence, Tally, rollout_of, stage_mark
-from pearloom.rollout.guard import Own
+from pearloom.rollout.guard import LocalGuard
 from pearloom.rollout.judge import Judgement
-from pearloom.rules.head import Asked, Deeds, Head, Rollout, There
+from pearloom.rules.head import Head, HeadState, Operation, Request, Rollout
 from pearloom.rules.host import RulesHost
 
 LOOK_S = 0.1
@@ -52,8 +52,8 @@
         """Takes no part before `start`."""
         self._link, self._member, self._rules, self._counters = link, member, rules, counters
         self._zone, self._broken, self._now_ms = zone, broken, now_ms
-        classes = rules.place.classes
-        self._own = Own(classes)
+        classes = rules.context.classes
+        self._own = LocalGuard(classes)
         self._tally = Tally(classes, 0, now_ms(), 1.0)
         self._began_ms = self._told_ms = self._looked_ms = now_ms()
         self._told = self._broken_before = 0
@@ -73,10 +73,10 @@
         gevent.spawn(self._run, self._look, LOOK_S, "rollout_failed")
         gevent.spawn(self._run, self._confirm, CONFIRM_AGAIN_S, "confirm_failed")
 
-    def _run(self, deed: Callable[[], None], pause_s: float, event: str) -> None:
+    def _run(self, write: Callable[[], None], pause_s: float, event: str) -> None:
         while True:
             try:
-                deed()
+                write()
             except Exception:
                 crashed(event)
             gevent.sleep(pause_s)
@@ -98,7 +98,7 @@
             bucket_ms = rollout.terms.evidence_ms / BUCKETS if rollout is not None else 1.0
             if rollout is not None and rollout.id != rollout_of(self._tally.stage):
                 self._own.forget(rollout.version)
-            self._tally = Tally(self._rules.place.classes, mark, now, bucket_ms)
+            self._tally = Tally(self._rules.context.classes, mark, now, bucket_ms)
             self._began_ms, self._told_ms, self._told = now, now, 0
             self._broken_before, self._away_ms = self._broken(), 0.0
             self._heard.clear()
@@ -142,8 +142,8 @@
         key = evidence.key_of(name, life)
         entry = snapshot.find(key)
         old = _outdated(snapshot, name, life, value.stage)
-        deeds = (Deed(key, evidence.encode(value)), *(Deed(gone, None) for gone in old))
-        outcome = self._link.attempt(Attempt((Compare(key, entry.mod if entry else 0),), deeds))
+        writes = (Write(key, evidence.encode(value)), *(Write(gone, None) for gone in old))
+        outcome = self._link.attempt(Attempt((Compare(key, entry.mod if entry else 0),), writes))
         if outcome is Outcome.WON:
             self._told += 1
         elif outcome is Outcome.LOST:
@@ -171,7 +171,7 @@
         there = self._rules.there
         if there is None or there.head != head:
             return
-        asked = Asked(self._member.name, secrets.token_hex(8), "", "", int(time.time() * 1000))
+        asked = Request(self._member.name, secrets.token_hex(8), "", "", int(time.time() * 1000))
         step = steps.next_step(there, self.seen_now(rollout), asked, head.number)
         if step is not None and self._is_time(step, rollout, now):
             self._try(step)
@@ -193,7 +193,7 @@
         outcome = self._link.attempt(step.attempt) if self._link.may_act() else Outcome.LOST
         self._counters.add(f"rollout_steps_{outcome.value}")
         if outcome is Outcome.WON:
-            halted = step.did is Deeds.HALTED
+            halted = step.did is Operation.HALTED
             note(logging.ERROR if halted else logging.INFO, "rollout", did=step.did.value, why=step.why)
 
     def _listen(self, rollout: Rollout, now: float) -> None:
@@ -245,7 +245,7 @@
             self._rules.leave(rollout.id)
 
     # --- for operators --------------------------------------------------------------------------------------
-    def followed(self, there: There) -> Followed:
+    def followed(self, there: HeadState) -> Followed:
         """Who goes by the head already."""
         view, snapshot = self._member.view, self._link.snapshot
         said = confirm.confirmations(snapshot) if snapshot is not None else {}
@@ -256,7 +256,7 @@
         """What each softswitch last said."""
         return {} if self._link.snapshot is None else confirm.confirmations(self._link.snapshot)
 
-    def judged(self, there: There) -> tuple[Judgement, tuple[str, ...], list[Evidence]]:
+    def judged(self, there: HeadState) -> tuple[Judgement, tuple[str, ...], list[Evidence]]:
         """What the evidence of this stage says now, the keys that can't be read, and the evidence itself."""
         rollout, snapshot = there.head.rollout, self._link.snapshot
         if rollout is None or snapshot is None:
--- a/pearloom/rollout/steps.py
+++ b/pearloom/rollout/steps.py
@@ -21,12 +21,12 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
-from pearloom.agreement.port import Attempt
+from pearloom.coordination.port import Attempt
 from pearloom.rollout import stages
 from pearloom.rollout.confirm import Confirmation
 from pearloom.rollout.evidence import Evidence
 from pearloom.rollout.judge import Judgement, judge
-from pearloom.rules.head import Asked, Deeds, Rollout, There, complete, halt, widen
+from pearloom.rules.head import HeadState, Operation, Request, Rollout, complete, halt, widen
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,12 +50,12 @@
 class RolloutStep:
     """One step to try: what it does, why, and the transaction."""
 
-    did: Deeds
+    did: Operation
     why: str
     attempt: Attempt
 
 
-def next_step(there: There, seen: Seen, asked: Asked, number_seen: int) -> RolloutStep | None:
+def next_step(there: HeadState, seen: Seen, asked: Request, number_seen: int) -> RolloutStep | None:
     """The one step to try now, or None. `number_seen`: the highest head that was ever obeyed here."""
     rollout = there.head.rollout
     if rollout is None or not rollout.goes_on or not there.readable or not seen.fresh:
@@ -63,14 +63,14 @@
     judged = judged_stage(rollout, there.head.version, seen.told)
     why = why_halt(rollout, seen, judged)
     if why:
-        return RolloutStep(Deeds.HALTED, why, halt(there, _because(asked, why), number_seen))
+        return RolloutStep(Operation.HALTED, why, halt(there, _because(asked, why), number_seen))
     if not _enough(rollout, seen, judged):
         return None
     why = f"{judged.calls_new} calls under the new version, nothing worse shown"
     if rollout.last:
-        return RolloutStep(Deeds.COMPLETED, why, complete(there, _because(asked, why), number_seen))
+        return RolloutStep(Operation.COMPLETED, why, complete(there, _because(asked, why), number_seen))
     wider = stages.members(seen.zones, rollout.id, rollout.stages[rollout.stage + 1])
-    return RolloutStep(Deeds.WIDENED, why, widen(there, wider, _because(asked, why), number_seen))
+    return RolloutStep(Operation.WIDENED, why, widen(there, wider, _because(asked, why), number_seen))
 
 
 def judged_stage(rollout: Rollout, old: str, told: Mapping[tuple[str, int], Evidence]) -> Judgement:
@@ -78,8 +78,8 @@
     return judge(told, rollout.version, old, rollout.terms.tolerance)
 
 
-def _because(asked: Asked, why: str) -> Asked:
-    return Asked(asked.by, asked.tag, why, asked.author, asked.at_ms)
+def _because(asked: Request, why: str) -> Request:
+    return Request(asked.by, asked.tag, why, asked.author, asked.at_ms)
 
 
 def stage_rate(rollout: Rollout) -> float:
--- a/pearloom/rules/__init__.py
+++ b/pearloom/rules/__init__.py
@@ -3,11 +3,11 @@
 Loaded only where the operator's file names a store.
 """
 
-from pearloom.rules.head import Asked, Head, Rollout, Terms, There, read_there
+from pearloom.rules.head import Head, HeadState, Request, Rollout, Terms, read_there
 from pearloom.rules.records import EMPTY, Rule, RulesError, RuleSet, version_of
 from pearloom.rules.settings import RolloutSettings, RulesSettings, read_rules_settings
 
 __all__ = [
-    "EMPTY", "Asked", "Head", "Rollout", "RolloutSettings", "Rule", "RuleSet", "RulesError", "RulesSettings",
-    "Terms", "There", "read_rules_settings", "read_there", "version_of",
+    "EMPTY", "Head", "HeadState", "Request", "Rollout", "RolloutSettings", "Rule", "RuleSet", "RulesError",
+    "RulesSettings", "Terms", "read_rules_settings", "read_there", "version_of",
 ]  # fmt: skip
--- a/pearloom/rules/head.py
+++ b/pearloom/rules/head.py
@@ -29,8 +29,8 @@
 
 import msgspec
 
-from pearloom.agreement.port import Attempt, Compare, Deed, Snapshot
-from pearloom.agreement.values import decoded
+from pearloom.coordination.port import Attempt, Compare, Snapshot, Write
+from pearloom.coordination.values import decoded
 from pearloom.rules.records import EMPTY, FORMAT, RulesError, RuleSet, canonical, read_rules, version_of
 
 HEAD, LOG, VERSIONS = "rules/head", "rules/log/", "rules/versions/"
@@ -40,7 +40,7 @@
 _VERSION = re.compile(rf"{EMPTY}|[0-9a-f]{{32}}")
 
 
-class Deeds(Enum):
+class Operation(Enum):
     """What an entry of the log did."""
 
     SET = "set"
@@ -111,7 +111,7 @@
 
     format: int
     number: int
-    deed: Deeds
+    write: Operation
     version: str
     before: str
     by: str
@@ -122,7 +122,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Asked:
+class Request:
     """Who asks for a step, and why."""
 
     by: str  # the softswitch that writes it
@@ -133,7 +133,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class There:
+class HeadState:
     """What the store holds of the head and its history; `unreadable`: keys of a newer format, or spoilt."""
 
     head: Head = field(default_factory=Head)
@@ -150,7 +150,7 @@
         return HEAD not in self.unreadable
 
 
-def read_there(snapshot: Snapshot) -> There:
+def read_there(snapshot: Snapshot) -> HeadState:
     """Read the head and its log; what can't be read is named."""
     unreadable: list[str] = []
     entry, head = snapshot.find(HEAD), Head()
@@ -170,7 +170,7 @@
     versions = tuple(one.key.removeprefix(VERSIONS) for one in snapshot.below(VERSIONS))
     beyond = tuple(_log_key(one.number) for one in log if one.number > head.number)
     mod, value = (entry.mod, entry.value) if entry else (0, None)
-    return There(head, mod, value, tuple(log), tuple(unreadable), versions, beyond)
+    return HeadState(head, mod, value, tuple(log), tuple(unreadable), versions, beyond)
 
 
 def _sound(head: Head) -> bool:
@@ -203,7 +203,7 @@
 
 # --- Steps --------------------------------------------------------------------------------------------------
 def _step(
-    there: There, head: Head, deed: Deeds, asked: Asked, seen: int, put: Iterable[Deed] = ()
+    there: HeadState, head: Head, write: Operation, asked: Request, seen: int, put: Iterable[Write] = ()
 ) -> Attempt:
     """The transaction to the next head. `seen`: the highest number that anyone is known to have seen."""
     number = max(there.head.number, seen) + 1
@@ -211,17 +211,21 @@
     if head.rollout is not None and head.rollout.id == 0:
         head = msgspec.structs.replace(head, rollout=msgspec.structs.replace(head.rollout, id=number))
     entry = Entry(
-        FORMAT, number, deed, head.rollout.version if head.rollout else head.version, there.head.version,
+        FORMAT, number, write, head.rollout.version if head.rollout else head.version, there.head.version,
         asked.by, asked.author, asked.reason, asked.at_ms, asked.tag,
     )  # fmt: skip
-    deeds = [Deed(HEAD, msgspec.json.encode(head)), Deed(_log_key(number), msgspec.json.encode(entry)), *put]
-    written = {deed.key for deed in deeds}
-    deeds += [Deed(key, None) for key in _too_old(there, head, entry) if key not in written]
+    writes = [
+        Write(HEAD, msgspec.json.encode(head)),
+        Write(_log_key(number), msgspec.json.encode(entry)),
+        *put,
+    ]
+    written = {write.key for write in writes}
+    writes += [Write(key, None) for key in _too_old(there, head, entry) if key not in written]
     # The value too: a head carries its tag, and a store that lost its last writes gives revisions again.
-    return Attempt((Compare(HEAD, there.mod, there.value),), tuple(deeds))
+    return Attempt((Compare(HEAD, there.mod, there.value),), tuple(writes))
 
 
-def _too_old(there: There, head: Head, entry: Entry) -> list[str]:
+def _too_old(there: HeadState, head: Head, entry: Entry) -> list[str]:
     """Keys that go with this step: the log and its versions stay bounded, in few operations a step."""
     kept = sorted(there.log, key=lambda one: one.number)[-(KEPT - 1) :]
     gone = [_log_key(one.number) for one in there.log if one not in kept]
@@ -232,7 +236,7 @@
     return gone[:16]
 
 
-def _check_open(there: There, expected: int | None) -> None:
+def _check_open(there: HeadState, expected: int | None) -> None:
     if not there.readable:
         raise RulesError(
             "rules/head in the store can't be read: upgrade this softswitch, or restore the store"
@@ -242,7 +246,7 @@
         raise RulesError(f"the head is {head.number} (version {head.version}), not {expected}")
 
 
-def _check_free(there: There) -> None:
+def _check_free(there: HeadState) -> None:
     rollout = there.head.rollout
     if rollout is not None and rollout.goes_on:
         first = next((one for one in there.log if one.number == rollout.id), None)
@@ -253,9 +257,9 @@
 
 
 def propose(
-    there: There,
+    there: HeadState,
     rules: RuleSet,
-    asked: Asked,
+    asked: Request,
     expected: int,
     stages: tuple[float, ...],
     members: tuple[str, ...],
@@ -269,47 +273,49 @@
     head, version = there.head, version_of(rules)
     if version == head.version:
         raise RulesError(f"these rules are in force already, as version {version}")
-    put = [Deed(VERSIONS + version, canonical(rules))] if version != EMPTY else []
+    put = [Write(VERSIONS + version, canonical(rules))] if version != EMPTY else []
     if not stages:
         after = msgspec.structs.replace(head, version=version, before=head.version, rollout=None)
-        return _step(there, after, Deeds.SET, asked, seen, put)
+        return _step(there, after, Operation.SET, asked, seen, put)
     rollout = Rollout(0, version, stages, 0, members, terms, stay)
-    return _step(there, msgspec.structs.replace(head, rollout=rollout), Deeds.PROPOSED, asked, seen, put)
+    return _step(there, msgspec.structs.replace(head, rollout=rollout), Operation.PROPOSED, asked, seen, put)
 
 
-def _going(there: There) -> Rollout:
+def _going(there: HeadState) -> Rollout:
     rollout = there.head.rollout
     if rollout is None or not rollout.goes_on:
         raise RulesError("no rollout is under way")
     return rollout
 
 
-def widen(there: There, members: tuple[str, ...], asked: Asked, seen: int = 0) -> Attempt:
+def widen(there: HeadState, members: tuple[str, ...], asked: Request, seen: int = 0) -> Attempt:
     """The next stage: those of the stage before, and these."""
     rollout = _going(there)
     if rollout.last:
         raise RulesError("the rollout is at its last stage")
     more = tuple(name for name in members if name not in rollout.members)
     wider = msgspec.structs.replace(rollout, stage=rollout.stage + 1, members=rollout.members + more)
-    return _step(there, msgspec.structs.replace(there.head, rollout=wider), Deeds.WIDENED, asked, seen)
+    return _step(there, msgspec.structs.replace(there.head, rollout=wider), Operation.WIDENED, asked, seen)
 
 
-def halt(there: There, asked: Asked, seen: int = 0) -> Attempt:
+def halt(there: HeadState, asked: Request, seen: int = 0) -> Attempt:
     """No wider; `asked.reason` is the one reason that is kept, with its figures."""
     halted = msgspec.structs.replace(_going(there), halted=asked.reason or "halted")
-    return _step(there, msgspec.structs.replace(there.head, rollout=halted), Deeds.HALTED, asked, seen)
+    return _step(there, msgspec.structs.replace(there.head, rollout=halted), Operation.HALTED, asked, seen)
 
 
-def complete(there: There, asked: Asked, seen: int = 0) -> Attempt:
+def complete(there: HeadState, asked: Request, seen: int = 0) -> Attempt:
     """The whole fleet goes by the new version."""
     rollout, head = _going(there), there.head
     if not rollout.last:
         raise RulesError("the rollout is not at its last stage")
     after = msgspec.structs.replace(head, version=rollout.version, before=head.version, rollout=None)
-    return _step(there, after, Deeds.COMPLETED, asked, seen)
+    return _step(there, after, Operation.COMPLETED, asked, seen)
 
 
-def undo(there: There, asked: Asked, expected: int | None = None, to: str = "", seen: int = 0) -> Attempt:
+def undo(
+    there: HeadState, asked: Request, expected: int | None = None, to: str = "", seen: int = 0
+) -> Attempt:
     """Take the last edit back, or go to a named version; a rollout ends in either case."""
     _check_open(there, expected)
     head = there.head
@@ -325,7 +331,7 @@
         raise RulesError("there is no version before to go back to")
     else:
         after = msgspec.structs.replace(head, version=head.before, before=head.version)
-    return _step(there, after, Deeds.UNDONE, asked, seen)
+    return _step(there, after, Operation.UNDONE, asked, seen)
 
 
 def follows(head: Head, seen: Head | None) -> bool:
--- a/pearloom/rules/host.py
+++ b/pearloom/rules/host.py
@@ -13,17 +13,17 @@
 import gevent
 from gevent.event import Event
 
-from pearloom.agreement import Link, Snapshot
+from pearloom.coordination import Link, Snapshot
 from pearloom.core.counters import Counters
 from pearloom.core.ends import End
 from pearloom.core.logs import note
-from pearloom.core.routing import Way
+from pearloom.core.routing import CallRoute
 from pearloom.core.sides import Offer
-from pearloom.rules.head import HEAD, Head, There, follows, read_there, rules_of
+from pearloom.rules.head import HEAD, Head, HeadState, follows, read_there, rules_of
 from pearloom.rules.records import EMPTY, RuleSet
 from pearloom.rules.settings import RulesSettings
-from pearloom.rules.shelf import Shelf
-from pearloom.rules.table import Place, Table
+from pearloom.rules.snapshots import SnapshotStore
+from pearloom.rules.table import LocalContext, Table
 
 SHELVE_AGAIN_S = 0.05  # between two writes at least
 Tallied = Callable[[str, int, int, End, float], None]  # version, mark, class, end, ms since the arrival
@@ -37,16 +37,16 @@
         link: Link,
         counters: Counters,
         name: str,
-        place: Place,
+        context: LocalContext,
         settings: RulesSettings,
         listed: Callable[[], Mapping[str, frozenset[int]]],
     ) -> None:
         """No rules are in force before `prepare`."""
         self._link, self._counters, self.name = link, counters, name
-        self.place, self._listed, self._settings = place, listed, settings
-        self._shelf = Shelf(settings.snapshot)
+        self.context, self._listed, self._settings = context, listed, settings
+        self._snapshots = SnapshotStore(settings.snapshot)
         self._kept: dict[str, RuleSet] = {EMPTY: RuleSet()}
-        self._table = Table(EMPTY, RuleSet(), place)
+        self._table = Table(EMPTY, RuleSet(), context)
         self.seen: Head | None = None  # the newest head that was ever obeyed here
         self.left = 0  # the rollout that this softswitch left by itself
         self._mod = -1  # the head's revision, as last read
@@ -58,12 +58,14 @@
         link.on_change.append(self._changed)
 
     # --- what the exchange asks -----------------------------------------------------------------------------
-    def way(self, offer: Offer) -> Way:
+    def way(self, offer: Offer) -> CallRoute:
         """The way that the rules of this moment give this call."""
         table = self._table
-        return Way(table.version, table.route(offer.kind, offer.tenant, offer.first_choice), self.marked())
+        return CallRoute(
+            table.version, table.route(offer.kind, offer.tenant, offer.first_choice), self.marked()
+        )
 
-    def ended(self, way: Way, kind: int, end: End, took_ms: float) -> None:
+    def ended(self, way: CallRoute, kind: int, end: End, took_ms: float) -> None:
         """One end of a call that arrived under these rules."""
         self.tallied(way.version, way.mark, kind, end, took_ms)
 
@@ -74,7 +76,7 @@
         return self._table.version
 
     @property
-    def there(self) -> There | None:
+    def there(self) -> HeadState | None:
         """The head and its history, as last read of the store."""
         snapshot = self._link.snapshot
         return None if snapshot is None else read_there(snapshot)
@@ -89,10 +91,10 @@
 
         The shelf is read in any case: a head that this softswitch obeyed in a former life is not left for an
         older one."""
-        shelved = self._shelf.read()
-        if shelved is not None:
-            self._kept |= shelved.versions
-            self.seen = shelved.head
+        stored = self._snapshots.read()
+        if stored is not None:
+            self._kept |= stored.versions
+            self.seen = stored.head
         answered = wait(self._settings.wait_ms)
         if answered and self._link.snapshot is not None:
             self._changed(self._link.snapshot)
@@ -155,7 +157,7 @@
             self._to_shelve.wait()
             self._to_shelve.clear()
             if self.seen is not None:
-                self._shelf.write(self.seen, dict(self._kept))
+                self._snapshots.write(self.seen, dict(self._kept))
             gevent.sleep(SHELVE_AGAIN_S)
 
     def _wanted(self) -> str:
@@ -170,17 +172,17 @@
         if version != self._table.version:
             self._counters.add("rules_changed")
             note(logging.INFO, "rules", version=version, before=self._table.version, head=head.number)
-        self._table = Table(version, rules, replace(self.place, cells=self._listed()))
+        self._table = Table(version, rules, replace(self.context, cells=self._listed()))
         for told in self.on_obeyed:
             told()
 
     def relist(self) -> None:
         """The pool list changed: what zones stand for may have."""
         cells = self._listed()
-        if cells != self.place.cells:
-            self.place = replace(self.place, cells=cells)
+        if cells != self.context.cells:
+            self.context = replace(self.context, cells=cells)
             if self._table.version != EMPTY:
-                self._table = Table(self._table.version, self._kept[self._table.version], self.place)
+                self._table = Table(self._table.version, self._kept[self._table.version], self.context)
 
     def leave(self, rollout: int) -> None:
         """Go back by itself from a version that is being rolled out, until the head says something else."""
--- a/pearloom/rules/shelf.py
+++ b/pearloom/rules/snapshots.py
@@ -22,7 +22,7 @@
 MOST_BYTES = 4 * 1024 * 1024
 
 
-class Shelved(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+class StoredSnapshot(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """What the file holds: the head, and the rules of each version that it may ask for here."""
 
     format: int
@@ -31,14 +31,14 @@
     versions: dict[str, RuleSet]
 
 
-class Shelf:
+class SnapshotStore:
     """One file; an empty path keeps nothing."""
 
     def __init__(self, path: str) -> None:
         """Reads nothing yet."""
         self._path = path
 
-    def read(self) -> Shelved | None:
+    def read(self) -> StoredSnapshot | None:
         """What is there, if it can be used; the log says its age, or what is wrong with it."""
         if not self._path:
             return None
@@ -58,7 +58,7 @@
         """Keep this; a disk that fails is logged, and what was kept before stays."""
         if not self._path:
             return
-        body = msgspec.json.encode(Shelved(FORMAT, int(time.time() * 1000), head, versions))
+        body = msgspec.json.encode(StoredSnapshot(FORMAT, int(time.time() * 1000), head, versions))
         # In a thread: a disk may take its time, and calls don't wait for it.
         trouble = gevent.get_hub().threadpool.apply(_put, (self._path, body))
         if trouble:
@@ -78,13 +78,13 @@
     return ""
 
 
-def _read(data: bytes) -> Shelved:
+def _read(data: bytes) -> StoredSnapshot:
     if len(data) > MOST_BYTES:
         raise ValueError(f"{len(data)} bytes are more than such a file may have")
     checksum, _, body = data.partition(b"\n")
     if sha256(body).hexdigest().encode() != checksum:
         raise ValueError("its checksum is wrong")
-    found: Shelved = msgspec.json.decode(body, type=Shelved)
+    found: StoredSnapshot = msgspec.json.decode(body, type=StoredSnapshot)
     if found.format != FORMAT:
         raise ValueError(f"it is of format {found.format}, {FORMAT} can be read")
     if any(version_of(rules) != version for version, rules in found.versions.items()):
--- a/pearloom/rules/table.py
+++ b/pearloom/rules/table.py
@@ -16,7 +16,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Place:
+class LocalContext:
     """Where this softswitch stands, and what the numbers of classes and tenants stand for."""
 
     classes: tuple[str, ...]
@@ -71,14 +71,14 @@
 class Table:
     """One version at one softswitch."""
 
-    def __init__(self, version: str, rules: RuleSet, place: Place) -> None:
+    def __init__(self, version: str, rules: RuleSet, context: LocalContext) -> None:
         """Rules that were accepted; those that can match no call here are left out."""
         self.version = version
-        self._place = place
-        self._rules = [rule for rule in rules.rules if not rule.match.zone or place.zone in rule.match.zone]
+        self._place = context
+        self._rules = [rule for rule in rules.rules if not rule.match.zone or context.zone in rule.match.zone]
         self._choices = {choice for rule in self._rules for choice in rule.match.first_choice}
         if any(isinstance(rule.effect, Spill) for rule in self._rules):
-            self._choices = self._choices.union(*place.cells.values())
+            self._choices = self._choices.union(*context.cells.values())
         self._shares = {
             rule.name: _Share(rule.effect.share, self._cells(rule.effect))
             for rule in self._rules
--- a/pearloom/servers/coordinator.py
+++ b/pearloom/servers/coordinator.py
@@ -20,7 +20,7 @@
 from pearloom.core.counters import Counters
 from pearloom.core.errors import Malformed
 from pearloom.core.logs import crashed, note
-from pearloom.servers.listing import Listing
+from pearloom.servers.discovery import PoolView
 
 DIAL_S = 1.0
 SILENT_S = 2.5  # an empty frame comes each second; with none whole for so long the connection is dead
@@ -112,7 +112,7 @@
     """Follows the stream, over as many connections as it takes."""
 
     def __init__(
-        self, address: Address, index: int, listing: Listing, counters: Counters, zones: Sequence[str]
+        self, address: Address, index: int, listing: PoolView, counters: Counters, zones: Sequence[str]
     ) -> None:
         """Follow from event `index` on; `zones`: their names in the order of the settings."""
         self._zones = zones
--- a/pearloom/servers/listing.py
+++ b/pearloom/servers/discovery.py
@@ -22,7 +22,7 @@
     return replace(server, entry=replace(server.entry, state=api.PoolState.DRAINING))
 
 
-class Listing:
+class PoolView:
     """Stands between whoever reads the list and whoever goes by it."""
 
     def __init__(self, tell: Told) -> None:
--- a/tests/agreement/test_link.py
+++ b/tests/coordination/test_link.py
@@ -10,12 +10,12 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from pearloom.agreement import Attempt, Compare, Deed, Entry, Link, Outcome, Snapshot, StoreSettings
-from pearloom.agreement.etcd import EtcdStore
-from pearloom.agreement.pace import MOST_MS, Backoff, Freshness, Hold, OwnLease
-from pearloom.agreement.port import Changes, applied, took_effect
+from pearloom.coordination import Attempt, Compare, Entry, Link, Outcome, Snapshot, StoreSettings, Write
+from pearloom.coordination.etcd import EtcdStore
+from pearloom.coordination.pace import MOST_MS, Backoff, Freshness, Hold, OwnLease
+from pearloom.coordination.port import Changes, applied, took_effect
 from pearloom.core.counters import Counters
-from pearloom.standins.etcd import Gateway
+from pearloom.fakes.etcd import Gateway
 
 
 class Pair:
@@ -35,7 +35,7 @@
         return self
 
     def write(self, key: str, value: bytes) -> Attempt:
-        return Attempt((Compare(key, 0),), (Deed(key, value),))
+        return Attempt((Compare(key, 0),), (Write(key, value),))
 
 
 def until(holds: Callable[[], bool], most_s: float = 8.0) -> None:
@@ -88,7 +88,7 @@
     pair.gateway.faults.paused = True
     until(lambda: not link.may_act())
     assert pair.gateway.store.time_to_live(link.lease.number, pair.gateway._clock())[0] >= 0
-    assert link.attempt(Attempt((), (Deed("turn", b"x", lease=True),))) is Outcome.LOST, "not even tried"
+    assert link.attempt(Attempt((), (Write("turn", b"x", lease=True),))) is Outcome.LOST, "not even tried"
     gevent.sleep(0.5)  # the lease ends at the store
     pair.gateway.faults.paused = False
     until(link.may_act)
@@ -166,7 +166,7 @@
     ],
 )
 def test_a_lost_reply_is_settled_from_what_is_there(now: Snapshot, told: bool | None) -> None:
-    attempt = Attempt((Compare("k", 5),), (Deed("k", b"mine"),))
+    attempt = Attempt((Compare("k", 5),), (Write("k", b"mine"),))
     assert took_effect(attempt, attempt.compares, now) is told
 
 
--- a/tests/agreement/test_store.py
+++ b/tests/coordination/test_store.py
@@ -12,10 +12,10 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from pearloom.agreement.etcd import EtcdStore
-from pearloom.agreement.port import Attempt, Changes, Compare, Deed, StoreError
-from pearloom.agreement.settings import StoreSettings
-from pearloom.standins.etcd import Compacted, Gateway, KeyValueStore
+from pearloom.coordination.etcd import EtcdStore
+from pearloom.coordination.port import Attempt, Changes, Compare, StoreError, Write
+from pearloom.coordination.settings import StoreSettings
+from pearloom.fakes.etcd import Compacted, Gateway, KeyValueStore
 
 
 @pytest.fixture()
@@ -31,7 +31,7 @@
 
 
 def put(key: str, value: bytes, mod: int = 0, lease: bool = False) -> Attempt:
-    return Attempt((Compare(key, mod),), (Deed(key, value, lease),))
+    return Attempt((Compare(key, mod),), (Write(key, value, lease),))
 
 
 def test_the_library_s_own_calls_pass_unchanged(gateway: Gateway) -> None:
--- a/tests/docs/test_examples.py
+++ b/tests/docs/test_examples.py
@@ -18,7 +18,7 @@
 from sybil.document import Document
 from sybil.parsers.markdown import CodeBlockParser, PythonCodeBlockParser
 
-from pearloom.standins.fleet import Rig
+from pearloom.fakes.fleet import Rig
 
 ROOT = Path(__file__).parent.parent.parent
 CONSOLE = ("docs/operating.md", "docs/one-fleet-operating.md")
--- a/tests/fleet/test_turns.py
+++ b/tests/fleet/test_maintenance.py
@@ -9,10 +9,10 @@
 import gevent
 import pytest
 
-from pearloom.standins.coordinator import Listed
-from pearloom.standins.fleet import Act, Rig, Step, broken_turns, play
-from pearloom.standins.journal import What
-from pearloom.standins.script import Manner
+from pearloom.fakes.coordinator import Listed
+from pearloom.fakes.fleet import Act, Rig, Step, broken_slots, play
+from pearloom.fakes.journal import What
+from pearloom.fakes.script import Manner
 
 QUICK = {"settle_ms": 300, "take_up_ms": 1_500, "drain_ms": 1_500, "floor": 0.3, "out_zone": 1, "out": 1}
 Starter = Callable[..., Rig]
@@ -43,7 +43,7 @@
 def judged(rig: Rig, most_out: int = 1) -> None:
     """No invariant of turns and no rule of the platform is broken."""
     rig.settle()
-    assert broken_turns(rig.gateway.store, most_out) == []
+    assert broken_slots(rig.gateway.store, most_out) == []
     assert [f"{one.rule}: {one.detail}" for one in rig.report().broken] == []
 
 
@@ -79,7 +79,7 @@
         rig.start(name)
         await_done(rig, out)
     calling.join()
-    assert broken_turns(rig.gateway.store, 1) == []
+    assert broken_slots(rig.gateway.store, 1) == []
 
 
 def test_one_stopped_past_its_lease_counts_as_out_and_does_no_work_on_the_old_grant(started: Starter) -> None:
--- a/tests/fleet/test_rules.py
+++ b/tests/fleet/test_rules.py
@@ -10,9 +10,9 @@
 import gevent
 import pytest
 
-from pearloom.standins.fleet import Act, Rig, Step, broken_rules, play
-from pearloom.standins.journal import What
-from pearloom.standins.script import Faults, Manner
+from pearloom.fakes.fleet import Act, Rig, Step, broken_rules, play
+from pearloom.fakes.journal import What
+from pearloom.fakes.script import Faults, Manner
 
 QUICK = {
     "stages": ["one", "0.5"], "soak_ms": 1_500, "evidence_ms": 30_000, "least_calls": 40, "tell_ms": 250,
--- a/tests/iax2/scenes.py
+++ b/tests/iax2/scenes.py
@@ -5,9 +5,9 @@
 from collections.abc import Iterator
 from contextlib import contextmanager
 
-from pearloom.standins.journal import What
-from pearloom.standins.script import Manner
-from pearloom.standins.stage import Stage
+from pearloom.fakes.journal import What
+from pearloom.fakes.script import Manner
+from pearloom.fakes.stage import Stage
 
 SHORT = Manner(holds_ms=400.0)
 LONG = Manner(holds_ms=60_000.0)
--- a/tests/iax2/test_bad_callers.py
+++ b/tests/iax2/test_bad_callers.py
@@ -13,6 +13,10 @@
 import pytest
 from gevent import socket
 
+from pearloom.fakes.callers import Iax2Caller
+from pearloom.fakes.journal import What
+from pearloom.fakes.script import Manner
+from pearloom.fakes.stage import Stage
 from pearloom.iax2.frames import (
     Element,
     Elements,
@@ -24,10 +28,6 @@
     encode_full,
     split_description,
 )
-from pearloom.standins.callers import Iax2Caller
-from pearloom.standins.journal import What
-from pearloom.standins.script import Manner
-from pearloom.standins.stage import Stage
 from tests.iax2.scenes import LONG, SHORT, count, first_choice, played, settled
 
 
@@ -245,8 +245,9 @@
         "print([name for name in sys.modules if name.split('.')[0] in"
         " ('lark', 'cyclopts', 'rich', 'etcd3gw', 'requests', 'msgspec')"
         " or name.startswith(('pearloom.iax2', 'pearloom.records', 'pearloom.installation',"
-        " 'pearloom.standins', 'pearloom.commands', 'pearloom.agreement', 'pearloom.membership',"
-        " 'pearloom.turns', 'pearloom.admin.together', 'pearloom.admin.work', 'pearloom.admin.members'))])"
+        " 'pearloom.fakes', 'pearloom.commands', 'pearloom.coordination', 'pearloom.membership',"
+        " 'pearloom.maintenance', 'pearloom.admin.together', 'pearloom.admin.work',"
+        " 'pearloom.admin.members'))])"
     )
     environment = {key: value for key, value in os.environ.items() if key != "PEARLOOM_FILE"}
     done = subprocess.run(
--- a/tests/iax2/test_failures.py
+++ b/tests/iax2/test_failures.py
@@ -7,13 +7,13 @@
 import gevent
 import pytest
 
+from pearloom.fakes.journal import What
+from pearloom.fakes.script import Faults, Manner
+from pearloom.fakes.stage import Stage
 from pearloom.iax2.frames import (
     Iax,
     Type,
 )
-from pearloom.standins.journal import What
-from pearloom.standins.script import Faults, Manner
-from pearloom.standins.stage import Stage
 from tests.iax2.scenes import LONG, SHORT, count, first_choice, played, settled
 
 
--- a/tests/iax2/test_mixed.py
+++ b/tests/iax2/test_mixed.py
@@ -5,10 +5,10 @@
 from collections.abc import Iterator
 from contextlib import contextmanager
 
-from pearloom.standins.journal import What
-from pearloom.standins.rules import Report
-from pearloom.standins.script import Faults, Manner
-from pearloom.standins.stage import Stage
+from pearloom.fakes.journal import What
+from pearloom.fakes.rules import Report
+from pearloom.fakes.script import Faults, Manner
+from pearloom.fakes.stage import Stage
 
 ROUGH = Faults(loses=0.05, doubles=0.05, delays=0.05)
 SHORT = Manner(holds_ms=700.0)
--- a/tests/turns/test_capacity.py
+++ b/tests/maintenance/test_capacity.py
@@ -5,12 +5,12 @@
 import msgspec
 import pytest
 
+from pearloom.maintenance import records
+from pearloom.maintenance.capacity import load, weighed
+from pearloom.maintenance.order import Fleet, Machine, Wait, waits
+from pearloom.maintenance.records import Gate, Held, Kind, Limits, Slot, Slots
 from pearloom.membership import Condition, Member, MemberFacts
 from pearloom.membership.view import MOST_GATES, decode_facts, next_facts
-from pearloom.turns import records
-from pearloom.turns.capacity import load, weighed
-from pearloom.turns.order import Fleet, Machine, Wait, waits
-from pearloom.turns.records import Gate, Held, Kind, Limits, Turn, Turns
 
 SERVERS = [Machine(Kind.SERVER, f"s-{at}", "a") for at in (1, 2, 3)]
 
@@ -52,14 +52,14 @@
     limits: dict[str, float], out: int, floor: float, wait: Wait | None
 ) -> None:
     members = [member("n1", limits, out)]
-    turn = Turn(1, "t", Kind.SERVER, "s-1", "a", "", False, "n1", "", 1)
-    turns = Turns(
-        (Held(turn, 5, records.encode(turn)),),
+    slot = Slot(1, "t", Kind.SERVER, "s-1", "a", "", False, "n1", "", 1)
+    slots = Slots(
+        (Held(slot, 5, records.encode(slot)),),
         gate=Gate(1, 1),
         limits=Limits(out=3, out_zone=3, out_cell=3, floor=floor),
     )
     fleet = Fleet(weighed(SERVERS, members), load=load(members))
-    assert [why for _, why in waits(turns, fleet)] == [wait]
+    assert [why for _, why in waits(slots, fleet)] == [wait]
 
 
 def test_what_a_member_tells_of_its_gates_is_bounded_and_checked() -> None:
--- a/tests/turns/test_model.py
+++ b/tests/maintenance/test_model.py
@@ -18,12 +18,12 @@
 
 import pytest
 
-from pearloom.agreement.port import Attempt, Entry, Snapshot
-from pearloom.standins.fleet.simulation import apply, roll
-from pearloom.turns import order, records, steps
-from pearloom.turns.order import Fleet, Machine
-from pearloom.turns.records import Kind, Limits, Phase, Turn
-from pearloom.turns.steps import Own
+from pearloom.coordination.port import Attempt, Entry, Snapshot
+from pearloom.fakes.fleet.simulation import apply, roll
+from pearloom.maintenance import order, records, steps
+from pearloom.maintenance.order import Fleet, Machine
+from pearloom.maintenance.records import Kind, Limits, Phase, Slot
+from pearloom.maintenance.steps import Own
 
 NAMES = ("n1", "n2")
 REVISIONS = 9  # of the store, up to which is explored
@@ -54,7 +54,7 @@
     past: Snapshot | None = None  # before the last write, which may still be lost
 
 
-reading = lru_cache(maxsize=None)(records.read_turns)
+reading = lru_cache(maxsize=None)(records.read_slots)
 
 
 def start(limits: Limits, faults: int) -> World:
@@ -64,8 +64,8 @@
     return World(first, tuple(Node(10 + at, read=first) for at in range(len(NAMES))), faults)
 
 
-def ask(name: str, urgent: bool) -> Turn:
-    return Turn(1, f"t-{name}", Kind.SOFTSWITCH, name, f"zone-{name}", "", urgent, "n1", "kernel", 0)
+def ask(name: str, urgent: bool) -> Slot:
+    return Slot(1, f"t-{name}", Kind.SOFTSWITCH, name, f"zone-{name}", "", urgent, "n1", "kernel", 0)
 
 
 def fleet_of(world: World) -> Fleet:
@@ -126,23 +126,23 @@
 
 
 def decide(world: World, name: str, node: Node, idle: bool, waited: float) -> steps.Step | None:
-    turns = reading(node.read)
-    seen = {(held.turn.id, held.mod): -waited for held in turns.turns}
-    return steps.next_step(turns, fleet_of(world), Own(name, node.life, idle, node.alive), seen, 0.0)
+    slots = reading(node.read)
+    seen = {(held.slot.id, held.mod): -waited for held in slots.slots}
+    return steps.next_step(slots, fleet_of(world), Own(name, node.life, idle, node.alive), seen, 0.0)
 
 
 def works_on(node: Node) -> tuple[int, int]:
     """What the host does: it drains while its own turn, granted to this life, says so."""
-    for held in reading(node.read).turns:
-        if held.turn.grant == node.life and held.turn.phase in (Phase.DRAINING, Phase.OUT):
-            return held.mod, held.turn.grant
+    for held in reading(node.read).slots:
+        if held.slot.grant == node.life and held.slot.phase in (Phase.DRAINING, Phase.OUT):
+            return held.mod, held.slot.grant
     return 0, 0
 
 
 def broken(world: World, limits: Limits) -> str:
     """The invariant that does not hold, if one does not."""
-    turns = reading(world.store)
-    out = {held.turn.machine for held in turns.turns if held.turn.is_out}
+    slots = reading(world.store)
+    out = {held.slot.machine for held in slots.slots if held.slot.is_out}
     if len(out) > limits.out:
         return f"{len(out)} machines are out on turns, {limits.out} may be"
     for node in world.nodes:
@@ -184,18 +184,18 @@
     real_grant: Callable[..., steps.Step] = steps._grant
     if seeded == "gate":  # a grant no longer compares with the gate
 
-        def grant(held: records.Held, turns: records.Turns, fleet: Fleet) -> steps.Step:
-            step = real_grant(held, turns, fleet)
-            mine = tuple(one for one in step.attempt.compares if one.key == held.turn.key)
-            return replace(step, attempt=Attempt(mine, step.attempt.deeds))
+        def grant(held: records.Held, slots: records.Slots, fleet: Fleet) -> steps.Step:
+            step = real_grant(held, slots, fleet)
+            mine = tuple(one for one in step.attempt.compares if one.key == held.slot.key)
+            return replace(step, attempt=Attempt(mine, step.attempt.writes))
 
         monkeypatch.setattr(steps, "_grant", grant)
     elif seeded == "out":  # machines out on their turn are not counted
-        monkeypatch.setattr(order, "out", lambda turns, fleet: [])
+        monkeypatch.setattr(order, "out", lambda slots, fleet: [])
     elif seeded == "freed":  # room that became free is told by no write of the gate
 
         def free(
-            held: records.Held, turns: records.Turns, to: Phase, why: str, **changes: object
+            held: records.Held, slots: records.Slots, to: Phase, why: str, **changes: object
         ) -> steps.Step:
             return steps._step(held, to, why, **changes)
 
@@ -203,8 +203,8 @@
     else:  # a step no longer compares with the turn's revision
 
         def moved(held: records.Held, **changes: object) -> tuple[object, object]:
-            compare, deed = records.moved(held, **changes)
-            return replace(compare, key="nothing", mod=0, value=None), deed
+            compare, write = records.moved(held, **changes)
+            return replace(compare, key="nothing", mod=0, value=None), write
 
         monkeypatch.setattr(steps, "moved", moved)
 
@@ -226,7 +226,7 @@
     store = apply(store, records.request(reading(store), [ask(name, urgent=False) for name in NAMES]))
 
     def on(there: Snapshot, fleet: Fleet, waited: float) -> steps.Step:
-        seen = {(held.turn.id, held.mod): -waited for held in reading(there).turns}
+        seen = {(held.slot.id, held.mod): -waited for held in reading(there).slots}
         step = steps.next_step(reading(there), fleet, own, seen, 0.0)
         assert step is not None
         return step
@@ -248,9 +248,9 @@
     assert apply(other, late.attempt) is None
 
 
-def replace_id(turn: Turn) -> Turn:
+def replace_id(slot: Slot) -> Slot:
     """Another machine's turn, so that it may be asked for beside those that are there."""
-    return Turn(1, "t-n3", Kind.SOFTSWITCH, "n3", turn.zone, "", False, "n1", turn.reason, 0)
+    return Slot(1, "t-n3", Kind.SOFTSWITCH, "n3", slot.zone, "", False, "n1", slot.reason, 0)
 
 
 def test_rolling_work_over_a_simulated_fleet_keeps_the_limits_and_wastes_little() -> None:
--- a/tests/turns/test_order.py
+++ b/tests/maintenance/test_order.py
@@ -6,17 +6,27 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from pearloom.agreement import pace
-from pearloom.agreement.port import Entry, Snapshot
-from pearloom.turns import records, steps
-from pearloom.turns.order import Fleet, Machine, Wait, queue, waits
-from pearloom.turns.records import FORMAT, Gate, Held, Kind, Limits, Phase, Turn, TurnError, Turns
-from pearloom.turns.steps import KEEP_MS, Own, Step
+from pearloom.coordination import pace
+from pearloom.coordination.port import Entry, Snapshot
+from pearloom.maintenance import records, steps
+from pearloom.maintenance.order import Fleet, Machine, Wait, queue, waits
+from pearloom.maintenance.records import (
+    FORMAT,
+    Gate,
+    Held,
+    Kind,
+    Limits,
+    MaintenanceError,
+    Phase,
+    Slot,
+    Slots,
+)
+from pearloom.maintenance.steps import KEEP_MS, Own, Step
 
 WIDE = Limits(out=9, out_zone=9, out_cell=9, floor=0.0, take_up_ms=1_000, drain_ms=2_000, settle_ms=3_000)
 
 
-def turn(
+def slot(
     number: int,
     machine: str = "",
     zone: str = "a",
@@ -28,7 +38,7 @@
     note: str = "",
 ) -> Held:
     name = machine or f"n{number}"
-    found = Turn(FORMAT, f"t{number}", kind, name, zone, cell, urgent, "n1", "", number, phase, grant, note)
+    found = Slot(FORMAT, f"t{number}", kind, name, zone, cell, urgent, "n1", "", number, phase, grant, note)
     return Held(found, 10 + number, records.encode(found))
 
 
@@ -37,8 +47,8 @@
     return Machine(kind, name, zone, cell, ready, incarnation=life)
 
 
-def turns(*held: Held, limits: Limits = WIDE, last_zone: str = "") -> Turns:
-    return Turns(held, Gate(last_zone=last_zone), 5, limits, 6)
+def slots(*held: Held, limits: Limits = WIDE, last_zone: str = "") -> Slots:
+    return Slots(held, Gate(last_zone=last_zone), 5, limits, 6)
 
 
 FLEET = Fleet(tuple(machine(f"n{at}", "a" if at < 4 else "b") for at in range(1, 7)))
@@ -47,17 +57,17 @@
 @pytest.mark.parametrize(
     ("there", "order"),
     [
-        (turns(turn(2), turn(1)), ["t1", "t2"]),  # by age
-        (turns(turn(1), turn(2, urgent=True)), ["t2", "t1"]),  # urgent first
-        (turns(turn(1), turn(4, zone="b"), last_zone="a"), ["t4", "t1"]),  # never two of a zone in a row
-        (turns(turn(1), turn(2), last_zone="a"), ["t1", "t2"]),  # unless no other waits
-        (turns(turn(1), turn(4, zone="b"), last_zone="b"), ["t1", "t4"]),
-        (turns(turn(1, urgent=True), turn(4, zone="b"), last_zone="a"), ["t1", "t4"]),  # urgency before zones
-        (turns(turn(1, phase=Phase.OUT), turn(2)), ["t2"]),  # one that has begun is in no queue
+        (slots(slot(2), slot(1)), ["t1", "t2"]),  # by age
+        (slots(slot(1), slot(2, urgent=True)), ["t2", "t1"]),  # urgent first
+        (slots(slot(1), slot(4, zone="b"), last_zone="a"), ["t4", "t1"]),  # never two of a zone in a row
+        (slots(slot(1), slot(2), last_zone="a"), ["t1", "t2"]),  # unless no other waits
+        (slots(slot(1), slot(4, zone="b"), last_zone="b"), ["t1", "t4"]),
+        (slots(slot(1, urgent=True), slot(4, zone="b"), last_zone="a"), ["t1", "t4"]),  # urgency before zones
+        (slots(slot(1, phase=Phase.OUT), slot(2)), ["t2"]),  # one that has begun is in no queue
     ],
 )
-def test_the_order_of_those_that_wait(there: Turns, order: list[str]) -> None:
-    assert [held.turn.id for held in queue(there)] == order
+def test_the_order_of_those_that_wait(there: Slots, order: list[str]) -> None:
+    assert [held.slot.id for held in queue(there)] == order
 
 
 ALL, ZONE, CELL = (
@@ -72,36 +82,36 @@
 @pytest.mark.parametrize(
     ("there", "fleet", "reasons"),
     [
-        (turns(turn(1), turn(2)), FLEET, [None, Wait.BEHIND]),  # one at a time, whatever the limits
-        (turns(turn(1), limits=ALL), GONE, [Wait.ALL]),  # out for whatever reason
-        (turns(turn(1), turn(2, phase=Phase.RETURNING), limits=ALL), FLEET, [Wait.ALL]),
-        (turns(turn(1), turn(2, phase=Phase.DONE), limits=ALL), FLEET, [None]),
-        (turns(turn(1), limits=ZONE), GONE, [Wait.ZONE]),
-        (turns(turn(1), turn(4, zone="b"), limits=ZONE), GONE, [Wait.ZONE, None]),  # other zones go on
-        (turns(turn(1, urgent=True), turn(4, zone="b"), limits=ZONE), GONE, [Wait.ZONE, Wait.BEHIND]),
-        (turns(turn(1, "s-1", kind=Kind.SERVER, cell="c1"), limits=CELL), CELLS, [Wait.CELL]),
-        (turns(turn(1, "s-3", kind=Kind.SERVER, cell="c2"), limits=CELL), CELLS, [None]),
-        (turns(turn(1), limits=Limits(out=9, out_zone=9, floor=0.5)), GONE, [Wait.FLOOR]),
-        (turns(turn(1), limits=Limits(out=9, out_zone=9, floor=0.33)), GONE, [None]),
-        (turns(turn(1)), Fleet(FLEET.machines, trouble=frozenset({"a"})), [Wait.TROUBLE]),
-        (turns(turn(1)), Fleet(FLEET.machines, trouble=frozenset({"b"})), [Wait.TROUBLE]),  # another one's
-        (turns(turn(1)), Fleet(FLEET.machines, halted=True), [Wait.HALTED]),
-        (turns(turn(1)), Fleet(FLEET.machines, fresh=False), [Wait.STALE]),
-        (turns(turn(9), turn(1)), FLEET, [None, Wait.UNKNOWN]),  # one that nobody knows holds up nobody
-        (turns(turn(2), turn(1, zone="b")), GONE, [None, Wait.AWAY]),
+        (slots(slot(1), slot(2)), FLEET, [None, Wait.BEHIND]),  # one at a time, whatever the limits
+        (slots(slot(1), limits=ALL), GONE, [Wait.ALL]),  # out for whatever reason
+        (slots(slot(1), slot(2, phase=Phase.RETURNING), limits=ALL), FLEET, [Wait.ALL]),
+        (slots(slot(1), slot(2, phase=Phase.DONE), limits=ALL), FLEET, [None]),
+        (slots(slot(1), limits=ZONE), GONE, [Wait.ZONE]),
+        (slots(slot(1), slot(4, zone="b"), limits=ZONE), GONE, [Wait.ZONE, None]),  # other zones go on
+        (slots(slot(1, urgent=True), slot(4, zone="b"), limits=ZONE), GONE, [Wait.ZONE, Wait.BEHIND]),
+        (slots(slot(1, "s-1", kind=Kind.SERVER, cell="c1"), limits=CELL), CELLS, [Wait.CELL]),
+        (slots(slot(1, "s-3", kind=Kind.SERVER, cell="c2"), limits=CELL), CELLS, [None]),
+        (slots(slot(1), limits=Limits(out=9, out_zone=9, floor=0.5)), GONE, [Wait.FLOOR]),
+        (slots(slot(1), limits=Limits(out=9, out_zone=9, floor=0.33)), GONE, [None]),
+        (slots(slot(1)), Fleet(FLEET.machines, trouble=frozenset({"a"})), [Wait.TROUBLE]),
+        (slots(slot(1)), Fleet(FLEET.machines, trouble=frozenset({"b"})), [Wait.TROUBLE]),  # another one's
+        (slots(slot(1)), Fleet(FLEET.machines, halted=True), [Wait.HALTED]),
+        (slots(slot(1)), Fleet(FLEET.machines, fresh=False), [Wait.STALE]),
+        (slots(slot(9), slot(1)), FLEET, [None, Wait.UNKNOWN]),  # one that nobody knows holds up nobody
+        (slots(slot(2), slot(1, zone="b")), GONE, [None, Wait.AWAY]),
     ],
 )
-def test_what_each_waits_for(there: Turns, fleet: Fleet, reasons: list[Wait | None]) -> None:
+def test_what_each_waits_for(there: Slots, fleet: Fleet, reasons: list[Wait | None]) -> None:
     assert [reason for _, reason in waits(there, fleet)] == reasons
 
 
 def test_what_can_t_be_read_stops_every_grant() -> None:
-    there = records.read_turns(Snapshot(1, 9, (Entry("turns/t1", b"{}", 1, 1),)))
+    there = records.read_slots(Snapshot(1, 9, (Entry("turns/t1", b"{}", 1, 1),)))
     assert there.unreadable == ("turns/t1",)
-    with pytest.raises(TurnError, match="turns/t1"):
-        records.request(there, [turn(1).turn])
-    good = records.encode(turn(1).turn)
-    there = records.read_turns(Snapshot(1, 9, (Entry("turns/t1", good, 1, 1), Entry("turns/x", b"", 2, 2))))
+    with pytest.raises(MaintenanceError, match="turns/t1"):
+        records.request(there, [slot(1).slot])
+    good = records.encode(slot(1).slot)
+    there = records.read_slots(Snapshot(1, 9, (Entry("turns/t1", good, 1, 1), Entry("turns/x", b"", 2, 2))))
     assert [reason for _, reason in waits(there, FLEET)] == [Wait.UNREADABLE]
 
 
@@ -111,7 +121,7 @@
     fleet = Fleet((there,) if there is not None else ())
     own = own or Own("n9", 1)
     return steps.next_step(
-        turns(held, limits=limits), fleet, own, {(held.turn.id, held.mod): -waited_ms}, 0.0
+        slots(held, limits=limits), fleet, own, {(held.slot.id, held.mod): -waited_ms}, 0.0
     )
 
 
@@ -146,36 +156,36 @@
 def test_the_life_of_a_turn(
     phase: Phase, there: Machine | None, waited_ms: float, own: Own, to: Phase | None
 ) -> None:
-    step = stepped(turn(1, phase=phase, grant=1), there, waited_ms, own)
+    step = stepped(slot(1, phase=phase, grant=1), there, waited_ms, own)
     assert (step.to if step else None) is to
 
 
 def test_one_that_died_on_its_turn_and_woke_in_the_same_life_returns() -> None:
-    step = stepped(turn(1, phase=Phase.OUT, grant=1, note="died on its turn"), LIVE)
+    step = stepped(slot(1, phase=Phase.OUT, grant=1, note="died on its turn"), LIVE)
     assert step is not None and step.to is Phase.RETURNING
 
 
 def test_nothing_is_tried_on_a_lease_that_may_have_ended_or_an_old_picture() -> None:
-    held, seen = turn(1), {("t1", 11): 0.0}
-    assert steps.next_step(turns(held), FLEET, Own("n1", 1, may_act=False), seen, 0.0) is None
-    assert steps.next_step(turns(held), Fleet(FLEET.machines, fresh=False), ME, seen, 0.0) is None
+    held, seen = slot(1), {("t1", 11): 0.0}
+    assert steps.next_step(slots(held), FLEET, Own("n1", 1, may_act=False), seen, 0.0) is None
+    assert steps.next_step(slots(held), Fleet(FLEET.machines, fresh=False), ME, seen, 0.0) is None
 
 
 def test_a_turn_that_is_done_is_forgotten_after_a_while() -> None:
-    step = stepped(turn(1, phase=Phase.DONE, grant=1), LIVE, KEEP_MS + 1)
-    assert step is not None and step.to is None and step.attempt.deeds[0].value is None
+    step = stepped(slot(1, phase=Phase.DONE, grant=1), LIVE, KEEP_MS + 1)
+    assert step is not None and step.to is None and step.attempt.writes[0].value is None
 
 
 @pytest.mark.parametrize("phase", list(Phase))
 def test_what_operators_may_say_at_each_phase(phase: Phase) -> None:
-    there = turns(turn(1, phase=phase))
+    there = slots(slot(1, phase=phase))
     if phase is Phase.OUT:
         assert steps.come_back(there, "t1").to is Phase.RETURNING
     else:
-        with pytest.raises(TurnError):
+        with pytest.raises(MaintenanceError):
             steps.come_back(there, "t1")
     if phase in (Phase.OUT, Phase.RETURNING):
-        with pytest.raises(TurnError):
+        with pytest.raises(MaintenanceError):
             steps.cancel(there, "t1")
     else:
         began = phase in (Phase.GRANTED, Phase.DRAINING)
@@ -183,27 +193,27 @@
 
 
 def test_a_machine_has_one_turn_and_the_queue_has_an_end() -> None:
-    with pytest.raises(TurnError, match="has turn t1 already"):
-        records.request(turns(turn(1)), [turn(2, "n1").turn])
-    with pytest.raises(TurnError, match="twice"):
-        records.request(turns(), [turn(1, "n1").turn, turn(2, "n1").turn])
-    with pytest.raises(TurnError, match="full"):
-        records.request(turns(*(turn(at) for at in range(records.MOST_TURNS))), [turn(9999).turn])
+    with pytest.raises(MaintenanceError, match="has turn t1 already"):
+        records.request(slots(slot(1)), [slot(2, "n1").slot])
+    with pytest.raises(MaintenanceError, match="twice"):
+        records.request(slots(), [slot(1, "n1").slot, slot(2, "n1").slot])
+    with pytest.raises(MaintenanceError, match="full"):
+        records.request(slots(*(slot(at) for at in range(records.MOST_SLOTS))), [slot(9999).slot])
 
 
 def test_limits_of_a_higher_edition_hold() -> None:
-    there = turns(limits=Limits(edition=3))
+    there = slots(limits=Limits(edition=3))
     assert records.adopt(there, Limits(edition=3)) is None
     assert records.adopt(there, Limits(edition=4)) is not None
-    assert records.adopt(Turns(), Limits()) is not None
+    assert records.adopt(Slots(), Limits()) is not None
 
 
 @given(
     st.lists(st.tuples(st.booleans(), st.sampled_from("abc")), max_size=12), st.sampled_from(["", "a", "b"])
 )
 def test_the_order_is_one_for_all_and_leaves_nobody_out(asked: list[tuple[bool, str]], last: str) -> None:
-    held = [turn(at, zone=zone, urgent=urgent) for at, (urgent, zone) in enumerate(asked)]
-    there, back = turns(*held, last_zone=last), turns(*reversed(held), last_zone=last)
+    held = [slot(at, zone=zone, urgent=urgent) for at, (urgent, zone) in enumerate(asked)]
+    there, back = slots(*held, last_zone=last), slots(*reversed(held), last_zone=last)
     assert queue(there) == queue(back)
     assert sorted(one.mod for one in queue(there)) == sorted(one.mod for one in held)
 
--- a/tests/turns/test_trouble.py
+++ b/tests/maintenance/test_trouble.py
@@ -4,10 +4,10 @@
 
 import pytest
 
-from pearloom.turns import records
-from pearloom.turns.order import Machine
-from pearloom.turns.records import FORMAT, Held, Kind, Phase, Turn, Turns
-from pearloom.turns.trouble import zones_in_trouble
+from pearloom.maintenance import records
+from pearloom.maintenance.order import Machine
+from pearloom.maintenance.records import FORMAT, Held, Kind, Phase, Slot, Slots
+from pearloom.maintenance.trouble import zones_in_trouble
 
 
 def zone(name: str, ready: int, away: int) -> list[Machine]:
@@ -18,12 +18,12 @@
 
 
 def on_turn(machine: str, phase: Phase) -> Held:
-    turn = Turn(FORMAT, machine, Kind.SERVER, machine, "a", "", False, "n1", "", 1, phase, 1)
-    return Held(turn, 5, records.encode(turn))
+    slot = Slot(FORMAT, machine, Kind.SERVER, machine, "a", "", False, "n1", "", 1, phase, 1)
+    return Held(slot, 5, records.encode(slot))
 
 
 @pytest.mark.parametrize(
-    ("machines", "turns", "found"),
+    ("machines", "slots", "found"),
     [
         (zone("a", 4, 0), (), set()),
         (zone("a", 4, 1), (), set()),  # one failure
@@ -38,5 +38,5 @@
         (zone("", 2, 2), (), set()),  # where zones are not told
     ],
 )
-def test_zones_in_trouble(machines: list[Machine], turns: tuple[Held, ...], found: set[str]) -> None:
-    assert zones_in_trouble(machines, Turns(turns)) == found
+def test_zones_in_trouble(machines: list[Machine], slots: tuple[Held, ...], found: set[str]) -> None:
+    assert zones_in_trouble(machines, Slots(slots)) == found
--- a/tests/membership/test_view.py
+++ b/tests/membership/test_view.py
@@ -7,7 +7,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from pearloom.agreement.port import Entry, Snapshot
+from pearloom.coordination.port import Entry, Snapshot
 from pearloom.membership import MEMBERS, ROSTER, Condition, MemberFacts, View, join, leave, look
 from pearloom.membership.view import RosterEntry, doubled, paced_ms
 
@@ -80,9 +80,9 @@
     assert [(one.key, one.mod) for one in first.compares] == [(MEMBERS + "n1", 0), (ROSTER + "n1", 0)]
     again = join(snapshot((MEMBERS + "n1", facts()), roster(2)), "n1", mine)
     assert [(one.key, one.mod) for one in again.compares] == [(MEMBERS + "n1", 5)], "the roster is as it was"
-    assert again.deeds[0].lease
+    assert again.writes[0].lease
     gone = leave(told(facts()), "n1")
-    assert gone is not None and {deed.value for deed in gone.deeds} == {None}
+    assert gone is not None and {write.value for write in gone.writes} == {None}
     assert leave(snapshot(), "n1") is None
 
 
--- a/tests/races/test_process.py
+++ b/tests/races/test_process.py
@@ -19,8 +19,8 @@
 
 from pearloom.admin import handover
 from pearloom.core.config import Server
+from pearloom.fakes.stage import free_port
 from pearloom.interface import ListKind, PoolEntry, PoolState
-from pearloom.standins.stage import free_port
 from tests.player import SETTINGS, encode
 from tests.races.scene import OPTIONS, Scene
 from tests.test_program import FAILED, PASSED, ROOT, TOLD, ask, await_line, ended, managed, start
--- a/tests/rollout/test_machine.py
+++ b/tests/rollout/test_machine.py
@@ -17,16 +17,16 @@
     run_state_machine_as_test,
 )
 
-from pearloom.agreement.port import Attempt, Compare, Deed, Snapshot
+from pearloom.coordination.port import Attempt, Compare, Snapshot, Write
 from pearloom.core.ends import End
+from pearloom.fakes.fleet.simulation import apply
 from pearloom.rollout import confirm, evidence, stages
 from pearloom.rollout.confirm import Confirmation
 from pearloom.rollout.evidence import Tally, added, stage_mark
 from pearloom.rollout.steps import RolloutStep, Seen, next_step
 from pearloom.rules import head as heads
-from pearloom.rules.head import Asked, Deeds, Head, Terms, follows, read_there
+from pearloom.rules.head import Head, Operation, Request, Terms, follows, read_there
 from pearloom.rules.records import EMPTY, Match, Prefer, Rule, RulesError, RuleSet
-from pearloom.standins.fleet.simulation import apply
 
 ZONES = {"n1": "a", "n2": "b", "n3": "b"}
 TERMS = Terms(soak_ms=1_000, evidence_ms=30_000, least_calls=4, silent_ms=4_000, tell_ms=100)
@@ -72,7 +72,7 @@
 
     def write(self, attempt: Attempt) -> bool:
         if self.blind:
-            attempt = Attempt((), attempt.deeds)
+            attempt = Attempt((), attempt.writes)
         after = apply(self.store, attempt)
         if after is None:
             return False
@@ -113,8 +113,8 @@
         key = evidence.key_of(name, one.life)
         held = one.read.find(key)
         value = one.tally.evidence(one.life, one.told + 1, ZONES[name], 0, self.now)
-        deed = Deed(key, evidence.encode(value))
-        if self.write(Attempt((Compare(key, held.mod if held else 0),), (deed,))) and not lost:
+        write = Write(key, evidence.encode(value))
+        if self.write(Attempt((Compare(key, held.mod if held else 0),), (write,))) and not lost:
             one.told += 1
             one.read = self.store
 
@@ -138,14 +138,14 @@
             return
         told, _ = evidence.told(one.read, one.tally.stage)
         seen = Seen(self.now, one.began, one.heard, told, confirm.confirmations(one.read), ZONES)
-        step = next_step(there, seen, Asked(name, f"{name}-{self.now}", ""), one.obeyed.number)
+        step = next_step(there, seen, Request(name, f"{name}-{self.now}", ""), one.obeyed.number)
         if step is not None:
             self.check(step, there.head, seen)
             self.write(step.attempt)
 
     def check(self, step: RolloutStep, head: Head, seen: Seen) -> None:
         assert head.rollout is not None and head.rollout.goes_on
-        if step.did in (Deeds.WIDENED, Deeds.COMPLETED):
+        if step.did in (Operation.WIDENED, Operation.COMPLETED):
             told = {name for name, _ in seen.told}
             assert set(head.rollout.members) <= told, "nothing is widened on what nobody told"
 
@@ -157,7 +157,7 @@
     @rule(name=names, undo=st.booleans())
     def an_operator(self, name: str, undo: bool) -> None:
         one = self.fleet[name]
-        there, asked = read_there(one.read), Asked(name, f"o{self.now}", "")
+        there, asked = read_there(one.read), Request(name, f"o{self.now}", "")
         self.edits += 1
         rules = RuleSet(rules=(Rule(f"r{self.edits}", Prefer((1,)), Match()),))
         begun = stages.members(ZONES, there.head.number + 1, 0.0)
--- a/tests/rollout/test_steps.py
+++ b/tests/rollout/test_steps.py
@@ -9,21 +9,21 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from pearloom.agreement.port import Entry, Snapshot
+from pearloom.coordination.port import Entry, Snapshot
 from pearloom.core.ends import End
 from pearloom.rollout import confirm, stages, steps
 from pearloom.rollout.confirm import Confirmation
 from pearloom.rollout.evidence import Evidence, Tally, stage_mark
-from pearloom.rollout.guard import HALVED_AT, Own
+from pearloom.rollout.guard import HALVED_AT, LocalGuard
 from pearloom.rollout.steps import Seen, next_step, nobody_wrote
-from pearloom.rules.head import Asked, Deeds, Head, Rollout, Terms, There
+from pearloom.rules.head import Head, HeadState, Operation, Request, Rollout, Terms
 
 TERMS = Terms(soak_ms=10_000, evidence_ms=60_000, least_calls=20, silent_ms=5_000, away_ms=8_000)
 NEW, OLD = "1" * 32, "0" * 32
 ROLLOUT = Rollout(4, NEW, (0.0, 0.5), 0, ("n1",), TERMS)
-THERE = There(Head(version=OLD, number=4, rollout=ROLLOUT), mod=9)
+THERE = HeadState(Head(version=OLD, number=4, rollout=ROLLOUT), mod=9)
 ZONES = {"n1": "a", "n2": "a", "n3": "b", "n4": "b"}
-ME = Asked("n3", "tag", "")
+ME = Request("n3", "tag", "")
 
 
 Told = dict[tuple[str, int], Evidence]
@@ -46,26 +46,30 @@
 @pytest.mark.parametrize(
     ("seen", "did", "why"),
     [
-        (SEEN, Deeds.WIDENED, "30 calls under the new version"),
+        (SEEN, Operation.WIDENED, "30 calls under the new version"),
         (replace(SEEN, fresh=False), None, ""),
         (replace(SEEN, now_ms=9_000.0), None, ""),  # soak
         (replace(SEEN, said={}), None, ""),  # not confirmed
         (replace(SEEN, said={"n1": Confirmation(1, 1, 4, OLD)}), None, ""),
         (replace(SEEN, told=told("n2", OLD, [End.STOOD] * 30)), None, ""),  # nothing told of the stage
-        (replace(SEEN, away_ms=9_000.0), Deeds.HALTED, "nobody could write to the store for 9 s"),
-        (replace(SEEN, said=LEFT), Deeds.HALTED, "n1 went back by itself"),
-        (replace(SEEN, said=SAID | {"n1": Confirmation(1, 1, 4, NEW, 3, "old")}), Deeds.WIDENED, ""),
-        (replace(SEEN, told=WELL | told("n1", NEW, [], broken=2)), Deeds.HALTED, "2 decisions broke at n1"),
-        (replace(SEEN, told=WELL | told("n2", OLD, [End.STOOD] * 9, broken=2)), Deeds.WIDENED, ""),
-        (replace(SEEN, now_ms=17_000.0), Deeds.HALTED, "n1 has told nothing for 6.0 s"),
+        (replace(SEEN, away_ms=9_000.0), Operation.HALTED, "nobody could write to the store for 9 s"),
+        (replace(SEEN, said=LEFT), Operation.HALTED, "n1 went back by itself"),
+        (replace(SEEN, said=SAID | {"n1": Confirmation(1, 1, 4, NEW, 3, "old")}), Operation.WIDENED, ""),
+        (
+            replace(SEEN, told=WELL | told("n1", NEW, [], broken=2)),
+            Operation.HALTED,
+            "2 decisions broke at n1",
+        ),
+        (replace(SEEN, told=WELL | told("n2", OLD, [End.STOOD] * 9, broken=2)), Operation.WIDENED, ""),
+        (replace(SEEN, now_ms=17_000.0), Operation.HALTED, "n1 has told nothing for 6.0 s"),
         (replace(SEEN, heard_ms={}, now_ms=4_000.0), None, ""),
-        (replace(SEEN, heard_ms={}, now_ms=6_000.0), Deeds.HALTED, "n1 has told nothing"),
-        (replace(SEEN, told=BAD), Deeds.HALTED, "failed of class a: 30 of 60 new, 0 of 60 old"),
+        (replace(SEEN, heard_ms={}, now_ms=6_000.0), Operation.HALTED, "n1 has told nothing"),
+        (replace(SEEN, told=BAD), Operation.HALTED, "failed of class a: 30 of 60 new, 0 of 60 old"),
         (replace(SEEN, now_ms=61_000.0, heard_ms={"n1": 60_500.0}, told=told("n1", NEW, [End.STOOD] * 5)),
-         Deeds.HALTED, "5 calls under the new version in 61 s, 20 wanted"),
+         Operation.HALTED, "5 calls under the new version in 61 s, 20 wanted"),
     ],
 )  # fmt: skip
-def test_each_row_of_the_table(seen: Seen, did: Deeds | None, why: str) -> None:
+def test_each_row_of_the_table(seen: Seen, did: Operation | None, why: str) -> None:
     step = next_step(THERE, seen, ME, 4)
     assert (step.did if step else None) is did
     if step is not None:
@@ -76,22 +80,22 @@
 @pytest.mark.parametrize(
     "there",
     [
-        There(Head(version=OLD, number=4), mod=9),
-        There(Head(version=OLD, number=4, rollout=msgspec.structs.replace(ROLLOUT, halted="why")), mod=9),
+        HeadState(Head(version=OLD, number=4), mod=9),
+        HeadState(Head(version=OLD, number=4, rollout=msgspec.structs.replace(ROLLOUT, halted="why")), mod=9),
         replace(THERE, unreadable=("rules/head",)),
     ],
 )
-def test_nothing_is_done_without_a_rollout_that_goes_on(there: There) -> None:
+def test_nothing_is_done_without_a_rollout_that_goes_on(there: HeadState) -> None:
     assert next_step(there, replace(SEEN, told=BAD), ME, 4) is None
 
 
 def test_the_last_stage_completes() -> None:
     last = msgspec.structs.replace(ROLLOUT, stage=1)
-    there = There(msgspec.structs.replace(THERE.head, rollout=last), mod=9)
+    there = HeadState(msgspec.structs.replace(THERE.head, rollout=last), mod=9)
     well = told("n1", NEW, [End.STOOD] * 30, 1) | told("n2", OLD, [End.STOOD] * 30, 1)
     step = next_step(there, replace(SEEN, told=well), ME, 4)
-    assert step is not None and step.did is Deeds.COMPLETED
-    head: Head = msgspec.json.decode(step.attempt.deeds[0].value or b"", type=Head)
+    assert step is not None and step.did is Operation.COMPLETED
+    head: Head = msgspec.json.decode(step.attempt.writes[0].value or b"", type=Head)
     assert (head.version, head.before, head.rollout, head.number) == (NEW, OLD, None, 5)
 
 
@@ -143,7 +147,7 @@
     said = Confirmation(1, 7, 5, OLD)
     first = confirm.confirm(Snapshot(1, 1, ()), "n1", said)
     assert first is not None and first.compares[0].mod == 0
-    entry = Entry("rules/at/n1", first.deeds[0].value or b"", 2, 2)
+    entry = Entry("rules/at/n1", first.writes[0].value or b"", 2, 2)
     spoilt = Entry("rules/at/n2", b'{"format": 1}', 2, 2)
     there = Snapshot(1, 2, (entry, spoilt))
     assert confirm.confirm(there, "n1", said) is None
@@ -152,7 +156,7 @@
 
 # --- the own guard ------------------------------------------------------------------------------------------
 def test_the_guard_sees_its_own_regress_and_no_other() -> None:
-    own = Own(("a", "b"))
+    own = LocalGuard(("a", "b"))
     for at in range(400):
         own.ended(OLD, 1, End.STOOD if at % 50 else End.FAILED, 100.0 * at)
     assert own.regressed(NEW, OLD, 1.25, 0.01) == "", "nothing is known of the new one"
@@ -167,7 +171,7 @@
 
 
 def test_the_guard_forgets_and_holds_a_bounded_number_of_versions() -> None:
-    own = Own(("a",))
+    own = LocalGuard(("a",))
     for at in range(3 * HALVED_AT):
         own.ended(OLD, 0, End.STOOD, float(at))
     assert sum(own._counts[OLD, 0].ends) <= HALVED_AT
--- a/tests/rules/test_head.py
+++ b/tests/rules/test_head.py
@@ -9,11 +9,22 @@
 import msgspec
 import pytest
 
-from pearloom.agreement.port import Attempt, Compare, Entry, Snapshot, took_effect
+from pearloom.coordination.port import Attempt, Compare, Entry, Snapshot, took_effect
+from pearloom.fakes.fleet.simulation import apply
 from pearloom.rules import head as steps
-from pearloom.rules.head import KEPT, Asked, Deeds, Head, Rollout, Terms, There, follows, read_there, rules_of
+from pearloom.rules.head import (
+    KEPT,
+    Head,
+    HeadState,
+    Operation,
+    Request,
+    Rollout,
+    Terms,
+    follows,
+    read_there,
+    rules_of,
+)
 from pearloom.rules.records import EMPTY, Match, Prefer, Rule, RulesError, RuleSet, canonical, version_of
-from pearloom.standins.fleet.simulation import apply
 
 TERMS = Terms()
 
@@ -23,7 +34,7 @@
 
 
 A, B = version_of(rules("a")), version_of(rules("b"))
-ME = Asked("n1", "tag", "why", "author", 5)
+ME = Request("n1", "tag", "why", "author", 5)
 
 
 class Fleet:
@@ -33,7 +44,7 @@
         self.store = Snapshot(1, 1, ())
 
     @property
-    def there(self) -> There:
+    def there(self) -> HeadState:
         return read_there(self.store)
 
     @property
@@ -63,7 +74,7 @@
     for wanted in (A, B, A):
         fleet.do(steps.undo(fleet.there, ME))
         assert fleet.head.version == wanted
-    assert [one.deed for one in fleet.there.log] == [Deeds.SET] * 2 + [Deeds.UNDONE] * 3
+    assert [one.write for one in fleet.there.log] == [Operation.SET] * 2 + [Operation.UNDONE] * 3
     assert [one.number for one in fleet.there.log] == [1, 2, 3, 4, 5], "history is added to"
 
 
@@ -102,7 +113,7 @@
     fleet: Fleet, stay: bool
 ) -> None:
     fleet.do(steps.propose(fleet.there, rules("b"), ME, 0, (0.0, 0.5), ("n1",), TERMS, stay))
-    fleet.do(steps.halt(fleet.there, Asked("n2", "t", "worse")))
+    fleet.do(steps.halt(fleet.there, Request("n2", "t", "worse")))
     assert fleet.head.rollout is not None and fleet.head.rollout.halted == "worse"
     assert fleet.head.runs("n1") == (B if stay else EMPTY)
     with pytest.raises(RulesError, match="no rollout is under way"):
@@ -210,7 +221,7 @@
     rollout, number = there.head.rollout, there.head.number
     seen = node.obeyed.number if node.obeyed else 0
     if rollout is not None and rollout.goes_on:
-        yield "halt", steps.halt(there, Asked("n", "h", "worse"), seen)
+        yield "halt", steps.halt(there, Request("n", "h", "worse"), seen)
         yield (
             "widen",
             steps.complete(there, ME, seen) if rollout.last else steps.widen(there, ("n2",), ME, seen),
@@ -236,9 +247,9 @@
         if node.trying is not None:
             tried = node.trying
             if broken == "no compare":
-                tried = Attempt((), tried.deeds)
+                tried = Attempt((), tried.writes)
             elif broken == "no value":
-                tried = Attempt(tuple(Compare(one.key, one.mod) for one in tried.compares), tried.deeds)
+                tried = Attempt(tuple(Compare(one.key, one.mod) for one in tried.compares), tried.writes)
             after = apply(world.store, tried)
             done = replace(node, trying=None)
             yield (
--- a/tests/rules/test_shelf.py
+++ b/tests/rules/test_snapshots.py
@@ -12,7 +12,7 @@
 from pearloom.rules import RolloutSettings, RulesSettings, Terms, read_rules_settings
 from pearloom.rules.head import Head
 from pearloom.rules.records import FORMAT, Match, Prefer, Rule, RuleSet, version_of
-from pearloom.rules.shelf import Shelf, Shelved
+from pearloom.rules.snapshots import SnapshotStore, StoredSnapshot
 
 RULES = RuleSet(rules=(Rule("a", Prefer((1,)), Match()),))
 VERSION = version_of(RULES)
@@ -20,7 +20,7 @@
 
 
 def test_what_was_kept_is_read_again(tmp_path: Path) -> None:
-    shelf = Shelf(str(tmp_path / "rules"))
+    shelf = SnapshotStore(str(tmp_path / "rules"))
     assert shelf.read() is None
     shelf.write(HEAD, {VERSION: RULES})
     found = shelf.read()
@@ -32,7 +32,7 @@
     return sha256(body).hexdigest().encode() + b"\n" + body
 
 
-WHOLE = msgspec.json.encode(Shelved(FORMAT, 1, HEAD, {VERSION: RULES}))
+WHOLE = msgspec.json.encode(StoredSnapshot(FORMAT, 1, HEAD, {VERSION: RULES}))
 
 
 @pytest.mark.parametrize(
@@ -42,8 +42,8 @@
         WHOLE,
         sealed(WHOLE)[:-1],
         sealed(WHOLE).replace(b'"number":3', b'"number":4'),
-        sealed(msgspec.json.encode(Shelved(FORMAT + 1, 1, HEAD, {}))),
-        sealed(msgspec.json.encode(Shelved(FORMAT, 1, HEAD, {"f" * 32: RULES}))),
+        sealed(msgspec.json.encode(StoredSnapshot(FORMAT + 1, 1, HEAD, {}))),
+        sealed(msgspec.json.encode(StoredSnapshot(FORMAT, 1, HEAD, {"f" * 32: RULES}))),
         sealed(b"{}"),
         sealed(b"x" * 5_000_000),
     ],
@@ -51,15 +51,15 @@
 def test_a_file_that_is_torn_spoilt_or_of_a_newer_format_is_not_used(tmp_path: Path, data: bytes) -> None:
     path = tmp_path / "rules"
     path.write_bytes(data)
-    assert Shelf(str(path)).read() is None
+    assert SnapshotStore(str(path)).read() is None
 
 
 def test_a_disk_that_fails_keeps_what_was_there(tmp_path: Path) -> None:
-    shelf = Shelf(str(tmp_path / "none" / "rules"))
+    shelf = SnapshotStore(str(tmp_path / "none" / "rules"))
     shelf.write(HEAD, {})
     assert shelf.read() is None and not list(tmp_path.iterdir())
-    Shelf("").write(HEAD, {})
-    assert Shelf("").read() is None
+    SnapshotStore("").write(HEAD, {})
+    assert SnapshotStore("").read() is None
 
 
 def read(text: str) -> RulesSettings:
--- a/tests/rules/test_table.py
+++ b/tests/rules/test_table.py
@@ -31,9 +31,9 @@
     read_rules,
     version_of,
 )
-from pearloom.rules.table import FIRST, LAST, OTHERS, OWN, SPILL, Place, Table
+from pearloom.rules.table import FIRST, LAST, OTHERS, OWN, SPILL, LocalContext, Table
 
-PLACE = Place(
+PLACE = LocalContext(
     ("open-form", "save-answers"), ("nour", "sahel"), "amsterdam",
     {"amsterdam": frozenset({0, 1}), "dublin": frozenset({2}), "lyon": frozenset({3})},
 )  # fmt: skip
--- a/tests/test_cold_starts.py
+++ b/tests/test_cold_starts.py
@@ -7,7 +7,7 @@
 import pytest
 
 from pearloom import interface as api
-from pearloom.standins.cold_start import Fleet, Window, play
+from pearloom.fakes.cold_start import Fleet, Window, play
 
 CLASSES = (
     api.CallClass(aim_us=2_000_000, deadline_us=9_000_000, worth=1, late_worth=0.25),
--- a/tests/test_listing.py
+++ b/tests/test_discovery.py
@@ -9,7 +9,7 @@
 
 from pearloom.core.config import Server
 from pearloom.interface import ListKind, PoolEntry, PoolState
-from pearloom.servers.listing import Listing
+from pearloom.servers.discovery import PoolView
 
 NAMES = ("s-00000001", "s-00000002", "s-00000003")
 
@@ -20,7 +20,7 @@
     def __init__(self) -> None:
         self.states: dict[str, PoolState] = {}
         self.count = 0
-        self.listing = Listing(self.take)
+        self.listing = PoolView(self.take)
 
     def take(self, kind: ListKind, servers: Sequence[Server]) -> None:
         self.count += 1
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -8,12 +8,12 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from pearloom.agreement.settings import read_store
+from pearloom.coordination.settings import read_store
 from pearloom.iax2.settings import read_iax2
+from pearloom.maintenance.settings import read_turn_settings
 from pearloom.records import Fields, RecordError, parse
 from pearloom.records.language import bare
 from pearloom.rules import read_rules_settings
-from pearloom.turns.settings import read_turn_settings
 
 PLAIN = st.none() | st.booleans() | st.integers(-(2**53), 2**53) | st.text(max_size=20)
 JSON = st.recursive(PLAIN, lambda inner: st.lists(inner, max_size=4) | st.dictionaries(st.text(max_size=8), inner, max_size=4))  # fmt: skip  # noqa: E501
--- a/tests/test_rule_checker.py
+++ b/tests/test_rule_checker.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from pearloom.standins.journal import Entry, What
-from pearloom.standins.rules import check
+from pearloom.fakes.journal import Entry, What
+from pearloom.fakes.rules import check
 
 ALLOWED = {"open-form": ["a", "b", "c", "d", "e"]}
 FIELDS = {"kind": "open-form", "protocol": "iax2", "description": b"sdp", "number": "1"}
