Read the fakes' connections in one piece

Cause: the same loop stood in the fake callers and the fake SIP server. Change: fakes/reading.py; an answer to one that is gone still ends the connection as before.

--- a/pearloom/fakes/callers.py
+++ b/pearloom/fakes/callers.py
@@ -16,6 +16,7 @@
 from pearloom.core.errors import Malformed
 from pearloom.core.sides import Media, MediaKind, Offer
 from pearloom.fakes.journal import Journal, What
+from pearloom.fakes.reading import messages
 from pearloom.fakes.rules import SLACK_MS
 from pearloom.fakes.script import Faults, Path
 from pearloom.iax2.events import Answered, Event, Failed, Gone, Heard, HungUp, Over, Rejected
@@ -111,14 +112,9 @@
             self._sock = None
 
     def _read(self, sock: socket.socket) -> None:
-        decoder = isup.Decoder()
-        try:
-            while data := sock.recv(65536):
-                for message in decoder.feed(data):
-                    if not isinstance(message, Malformed):
-                        self._message(sock, message)
-        except OSError:
-            pass
+        with contextlib.suppress(OSError):  # of an answer: whoever asked is gone
+            for message in messages(sock, isup.Decoder()):
+                self._message(sock, message)
         if self._sock is sock:
             self._sock = None
         sock.close()
--- a/pearloom/fakes/sip_server.py
+++ b/pearloom/fakes/sip_server.py
@@ -10,8 +10,8 @@
 from gevent import socket
 
 from pearloom.core.config import Address
-from pearloom.core.errors import Malformed
 from pearloom.fakes.journal import Journal, What
+from pearloom.fakes.reading import Decoder, messages
 from pearloom.fakes.script import Act, Behaviour, Manner
 from pearloom.sip import codec as sip
 
@@ -59,14 +59,10 @@
             gevent.spawn(self._serve, sock)
 
     def _serve(self, sock: socket.socket) -> None:
-        decoder = sip.Decoder()
-        try:
-            while data := sock.recv(65536):
-                for message in decoder.feed(data):
-                    if not isinstance(message, Malformed):
-                        self._message(sock, message)
-        except OSError:
-            pass
+        decoder: Decoder[sip.Request | sip.Response] = sip.Decoder()
+        with contextlib.suppress(OSError):  # of an answer: whoever asked is gone
+            for message in messages(sock, decoder):
+                self._message(sock, message)
         if sock in self._socks:
             self._socks.remove(sock)
         sock.close()
