Test that a start is ready within seconds whatever discovery does

Need: restarts with discovery down, silent, silent after its first frame, or with a whole list that is empty.

--- a/tests/races/test_process.py
+++ b/tests/races/test_process.py
@@ -29,6 +29,7 @@
 CALL = "9b1f03aa5c7e2d41"
 SET_UP = f'(01 {CALL} 03("open-form") 06("3000") 0f("1") 12("dest:0") 30("sdp-c"))'
 DESCRIPTORS = 64
+READY_S = 6.0  # what the operators allow nine in ten restarts on a short day
 
 
 class Running:
@@ -251,3 +252,44 @@
         assert {one.entry.server: one.zone for one in legacy.listed.servers}["s-00000009"] == "east"
     finally:
         scene.close()
+
+
+@pytest.mark.parametrize("discovery", ["down", "silent", "silent after a frame", "whole but empty"])
+def test_a_start_is_ready_soon_whatever_discovery_does(tmp_path: Path, discovery: str) -> None:
+    """Guards against a restart that waits for a list: a fleet restarted during an outage must serve on."""
+    address, operators = ("127.0.0.1", free_port()), ("127.0.0.1", free_port())
+    server = socket.create_server(("127.0.0.1", 0))
+    server.settimeout(5)
+    host = {"host": "s-00000001", "dial": "127.0.0.1:%d" % server.getsockname()[1], "health": "in_service"}
+    known = {"index": 1, "updates": [{"index": 1, "endpoints": {"whole": True, "hosts": [host]}}]}
+    with ExitStack() as held:
+        held.enter_context(closing(server))
+        coordinator = ("127.0.0.1", free_port())
+        if discovery != "down":
+            listener = held.enter_context(closing(socket.create_server(coordinator)))
+            listener.settimeout(5)
+        told = {**TOLD, "listen": "%s:%d" % address, "known": known, "coordinator": "%s:%d" % coordinator}
+        begun = time.monotonic()
+        process = start(tmp_path, told, BALANCER_MANAGEMENT="%s:%d" % operators)
+        await_line(process, "started")
+        if discovery != "down":
+            stream = held.enter_context(closing(listener.accept()[0]))
+            if discovery != "silent":
+                kind, number = (0, 0) if discovery == "silent after a frame" else (1, 2)
+                stream.sendall(struct.pack(">IQB", 9, number, kind))
+        assert managed(operators, "/v1/readyz").startswith(b"HTTP/1.1 200 ")
+        with socket.create_connection(address, timeout=5) as caller:
+            assert ask(caller) == encode(PASSED)
+            assert time.monotonic() - begun < READY_S
+            if discovery == "whole but empty":
+                await_line(process, "list")
+            caller.sendall(encode(SET_UP))
+            if discovery == "whole but empty":
+                assert caller.recv(100)[2:11] == encode(f"0c {CALL}")  # refused, as nobody may take it
+            else:
+                with closing(server.accept()[0]) as trunk:
+                    assert b"INVITE" in trunk.recv(1000)
+        process.kill()
+        process.wait()
+        assert process.stderr is not None
+        process.stderr.close()
