--- a/pearloom/commands.py
+++ b/pearloom/commands.py
@@ -19,7 +19,7 @@
     rate: Annotated[float, Parameter(help="calls a second")] = 50.0,
     seed: Annotated[int, Parameter(help="of all that is drawn")] = 1,
 ) -> int:
-    """Run a small installation on loopback: four stand-in servers, callers of both kinds, a drain midway.
+    """Run a small installation on loopback: four fake servers, callers of both kinds, a drain midway.
 
     Prints how calls ended by class and protocols, and the rules that were broken; exit code 1 if any was.
     """
--- a/pearloom/fakes/etcd/gateway.py
+++ b/pearloom/fakes/etcd/gateway.py
@@ -1,4 +1,4 @@
-"""The stand-in store's JSON gateway over HTTP on loopback, served by gevent's own WSGI server.
+"""The fake store's JSON gateway over HTTP on loopback, served by gevent's own WSGI server.
 
 After etcd's `rpc.swagger.json` (v3.5): bytes as base64, 64-bit numbers as text in answers, a stream of JSON
 lines for watches. A gateway belongs to the process that starts it; faults are set on `faults` at any time.
--- a/pearloom/fakes/fleet/rig.py
+++ b/pearloom/fakes/fleet/rig.py
@@ -323,7 +323,7 @@
         gevent.sleep(0.3)
 
     def report(self) -> Report:
-        """What the rule checker finds in all that the stand-ins saw."""
+        """What the rule checker finds in all that the fakes saw."""
         allowed = {name: [one.server for one in self.all_servers] for name in CLASSES}
         return check(self._history().entries, allowed, time.time() * 1000.0)
 
--- a/pearloom/fakes/journal.py
+++ b/pearloom/fakes/journal.py
@@ -1,4 +1,4 @@
-"""What the stand-ins saw and did, in one list: the rule checker reads this and nothing of the softswitch."""
+"""What the fakes saw and did, in one list: the rule checker reads this and nothing of the softswitch."""
 
 from __future__ import annotations
 
--- a/pearloom/fakes/rules.py
+++ b/pearloom/fakes/rules.py
@@ -1,4 +1,4 @@
-"""Checks the rules on what the stand-ins recorded; it knows nothing of the softswitch's own account."""
+"""Checks the rules on what the fakes recorded; it knows nothing of the softswitch's own account."""
 
 from __future__ import annotations
 
--- a/pearloom/fakes/script.py
+++ b/pearloom/fakes/script.py
@@ -1,4 +1,4 @@
-"""What a stand-in does with each set-up, drawn from a seed; and a path that loses, doubles and reorders."""
+"""What a fake does with each set-up, drawn from a seed; and a path that loses, doubles and reorders."""
 
 from __future__ import annotations
 
@@ -32,7 +32,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Manner:
-    """How a stand-in server behaves; shares are of all set-ups."""
+    """How a fake server behaves; shares are of all set-ups."""
 
     after_ms: tuple[float, float] = (5.0, 40.0)
     holds_ms: float = 2_000.0  # on average, exponential
--- a/pearloom/fakes/stage.py
+++ b/pearloom/fakes/stage.py
@@ -207,7 +207,7 @@
             caller.place(self.offer(patience_ms, size), holds)
 
     def settle(self, for_s: float) -> bool:
-        """Wait until nothing stands or is open at any stand-in, so long at most."""
+        """Wait until nothing stands or is open at any fake, so long at most."""
         until = time.time() + for_s
         while time.time() < until:
             if self.journal.quiet and not any(one.standing for one in self.servers):
