Test that a refused caller is asked to stay away no longer than the settings allow

Cause: the run of the guards of a call's way (28) left one unnoticed, this bound: the generated settings refuse too seldom. Change: a test of it by itself, and the guard's entry names it. Measured: 27 of 28 were noticed in that run; the bound's removal is noticed now on a scratch copy.

--- a/benchmarks/guards/calls.py
+++ b/benchmarks/guards/calls.py
@@ -39,7 +39,7 @@
     Guard("the pause after doubt is the settings'", "settings.py", '_integer(params, "specifics.guardUs")', "1000", (SETTINGS,)),
     Guard("attempts are the settings'", "settings.py", '_integer(params, "limits.maxAttempts", 1)', "4", (SETTINGS,)),
     Guard("pools of a class are the settings'", "settings.py", '_cells(params.get(f"specifics.skilledPools.{number}", ""))', "()", (SETTINGS,)),
-    Guard("callers are told what the settings allow", "interface.py", "min(wanted_us, self.most_stay_away_us)", "wanted_us", (SETTINGS,)),
+    Guard("callers are told what the settings allow", "interface.py", "min(wanted_us, self.most_stay_away_us)", "wanted_us", ("tests/policy/test_gate.py",)),
     Guard("an infinite value is one plain line", "core/config.py", " OverflowError,", "", (BAD,)),
     Guard("an unknown effect is refused", "settings.py", "if effect not in _EFFECTS:", "if False:", (BAD,)),
 )  # fmt: skip
--- a/tests/policy/test_gate.py
+++ b/tests/policy/test_gate.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pytest
+
 from pearloom import interface as api
 from pearloom.policy import health, lifecycle, limits
 from tests.helpers import AIM, A, B, Proxy, entry, finals, own_timer, sends
@@ -38,6 +40,18 @@
     assert not finals(proxy.tell(api.TimerDue(timer.token), 1))
 
 
+@pytest.mark.parametrize(("most_us", "told_us"), [(None, AIM), (250_000, 250_000), (0, 0), (9 * AIM, AIM)])
+def test_a_refused_caller_is_asked_to_stay_away_as_the_settings_allow(
+    most_us: int | None, told_us: int
+) -> None:
+    """Guards against a wait that the callers of this site do not heed, or are not told at all."""
+    proxy = Proxy(entry(A, 0), most_stay_away_us=most_us)
+    proxy.call()
+    proxy.call()
+    timer = own_timer(proxy.call())
+    assert finals(proxy.tell(api.TimerDue(timer.token), timer.after_us)) == [api.Refuse("c3", told_us)]
+
+
 def test_held_call_goes_out_when_a_gate_opens_best_first() -> None:
     proxy = Proxy(entry(A, 0))
     for kind in (0, 0, 0, 1, 1, 1):
