--- a/pearloom/core/connection.py
+++ b/pearloom/core/connection.py
@@ -63,18 +63,18 @@
         self._read_bytes = read_bytes
         self._queue: deque[OutboundMessage] = deque()
         self._queued = 0
-        self._sent_of_first = 0  # bytes of the first outbound that have left
+        self._sent_of_first = 0  # bytes of the first message that have left
         self._ready = Event()
         self._finishing = False
         self._writes = False
         self.closed = False
 
     def start(self) -> None:
-        """Begin to read; a writer is there from the first outbound on."""
+        """Begin to read; a writer is there from the first message on."""
         gevent.spawn(self._guard, self._read)
 
     def send(self, outbound: OutboundMessage) -> None:
-        """Queue a outbound; a peer that is too far behind is cut off instead."""
+        """Queue a message; a peer that is too far behind is cut off instead."""
         outbound.progress = Progress.CONNECTING
         self._queue.append(outbound)
         self._queued += len(outbound.data)
