--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -544,6 +544,7 @@
 
 def main(folder: Path, play: Callable[[Record, bool], Coroutine[Any, Any, list[str]]], limit_s: float) -> int:
     """Run a case; return 1 if the rule was broken, 0 if it held, 2 if the case could not run."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # so that the processes that were started end too
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(folder)
     record.add("case", f"begins, {'with' if has_trouble else 'without'} the disruption")
