Count and log unreadable server messages and line reports in one place

Change: Directory.record_malformed and Directory.handle_report serve both. Behaviour is as before, but for the reason of an IAX2 report that can't be read: it now shows the text, as SIP's does.

--- a/pearloom/iax2/trunk.py
+++ b/pearloom/iax2/trunk.py
@@ -36,7 +36,6 @@
 from pearloom.iax2.udp import UdpPort
 from pearloom.interface import Ending, PoolState
 from pearloom.servers.directory import Directory
-from pearloom.settings import read_report
 
 # A HANGUP has been sent three or four times by then; the wait after an uncertain attempt comes on top.
 CONFIRM_MS = 500.0
@@ -236,10 +235,7 @@
     def _on_datagram(self, data: bytes) -> None:
         frames = decode(data)
         if isinstance(frames, Malformed):
-            self._directory.counters.add("malformed_from_servers")
-            log_event(
-                logging.WARNING, "server_malformed", server=self.name, reason=frames.reason, closed=False
-            )
+            self._directory.record_malformed(self.name, frames.reason, closed=False)
             return
         now = self.now_ms
         for frame in frames:
@@ -282,10 +278,7 @@
                 )
             case Failed(stage, failure, reason):
                 if failure is SetUpFailure.SPOILT:
-                    self._directory.counters.add("malformed_from_servers")
-                    log_event(
-                        logging.WARNING, "server_malformed", server=self.name, reason=reason, closed=True
-                    )
+                    self._directory.record_malformed(self.name, reason, closed=True)
                 ending = ending_for_failure(stage, failure)
                 self._fail_attempt(
                     leg, AttemptError(Progress.SENT, f"{failure.name.lower()} {reason}".strip(), ending)
@@ -324,10 +317,7 @@
         request, attempt = leg.trunk_call.set_up.request, leg.trunk_call.set_up.attempt
         if description is None and request.description:
             # Guards against an answer without the description of the server's media.
-            self._directory.counters.add("malformed_from_servers")
-            log_event(
-                logging.WARNING, "server_malformed", server=self.name, reason="no description", closed=True
-            )
+            self._directory.record_malformed(self.name, "no description", closed=True)
             self._fail_attempt(leg, AttemptError(Progress.ANSWERED, "no description", Ending.ERROR))
             self._close(leg)
             return
@@ -340,14 +330,6 @@
             self._liveness.remove(leg.source)
             self._close(leg)
 
-    def _handle_report(self, attributes: str) -> None:
-        if attributes:
-            try:
-                report = read_report(attributes)
-            except ValueError:
-                self._directory.counters.add("malformed_from_servers")
-                log_event(
-                    logging.WARNING, "server_malformed", server=self.name, reason="circuits", closed=False
-                )
-            else:
-                self._exchange.handle_server_report(self.name, report)
+    def _handle_report(self, circuits: str) -> None:
+        if circuits:
+            self._directory.handle_report(self.name, "circuits", circuits)
--- a/pearloom/servers/directory.py
+++ b/pearloom/servers/directory.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from collections.abc import Callable, Mapping, Sequence
 from typing import Protocol
 
@@ -11,10 +12,12 @@
 from pearloom.core.counters import Counters
 from pearloom.core.errors import AttemptError, Progress
 from pearloom.core.exchange import Exchange
-from pearloom.core.logs import log_exception
+from pearloom.core.logs import log_event, log_exception
 from pearloom.interface import PoolState
+from pearloom.settings import read_report
 
 WATCH_INTERVAL_MS = 100.0
+MAX_LOGGED_CHARS = 60  # of a header that can't be read
 SIP, IAX2 = "sip", "iax2"
 
 
@@ -126,6 +129,22 @@
             if candidate is not trunk
         )
 
+    def record_malformed(self, server: str, reason: str, closed: bool) -> None:
+        """Count and log bytes of a server that can't be read; `closed`: what they came on has been ended."""
+        self.counters.add("malformed_from_servers")
+        log_event(logging.WARNING, "server_malformed", server=server, reason=reason, closed=closed)
+
+    def handle_report(self, server: str, field: str, circuits: str) -> None:
+        """Pass a server's report of its free lines on; `field` is where its message has it.
+
+        Without reports a gate learns from refusals alone how few lines are free."""
+        try:
+            report = read_report(circuits)
+        except ValueError:
+            self.record_malformed(server, f"{field} {circuits[:MAX_LOGGED_CHARS]!r}", closed=False)
+        else:
+            self.exchange.handle_server_report(server, report)
+
     def _add_trunk(self, server: Server) -> Trunk:
         name = server.entry.server
         self._trunks[name] = trunk = self._factories[self.protocol_of(name)](self, server)
--- a/pearloom/sip/trunk.py
+++ b/pearloom/sip/trunk.py
@@ -15,7 +15,6 @@
 from pearloom.core.recent import RecentValues
 from pearloom.interface import Ending, PoolState
 from pearloom.servers.directory import Directory
-from pearloom.settings import read_report
 from pearloom.sip import codec as sip
 from pearloom.sip import requests
 from pearloom.sip.connecting import DialFailure, DialFailureKind, connect
@@ -311,9 +310,7 @@
 
     def on_malformed(self, message: Malformed) -> None:
         """Log and count bytes from the server that are not valid SIP."""
-        self._directory.counters.add("malformed_from_servers")
-        fields = {"reason": message.reason, "closed": message.fatal}
-        log_event(logging.WARNING, "server_malformed", server=self.name, **fields)
+        self._directory.record_malformed(self.name, message.reason, closed=message.fatal)
 
     def on_message(self, link: Link, message: sip.Request | sip.Response) -> None:
         """Handle one message of the server."""
@@ -321,7 +318,7 @@
         self._liveness.record_sign_of_life(link.last_message_ms)
         call = sip.call_of(message)
         if "x-circuits" in message.headers:
-            self._on_report(message.headers["x-circuits"])
+            self._directory.handle_report(self.name, "X-Circuits", message.headers["x-circuits"])
         if isinstance(message, sip.Request) and message.method == "OPTIONS":
             link.send(OutboundMessage(sip.encode_response(message, 200, "OK")))
         elif isinstance(message, sip.Request) and message.method == "NOTIFY":
@@ -339,15 +336,6 @@
                 logging.WARNING, "server_unknown_method", server=self.name, method=message.method, call=call
             )
 
-    def _on_report(self, circuits: str) -> None:
-        """Report free lines to the exchange; otherwise a gate learns from refusals alone how few are free."""
-        try:
-            report = read_report(circuits)
-        except ValueError:
-            self.on_malformed(Malformed(f"X-Circuits {circuits[:60]!r}", fatal=False))
-        else:
-            self._exchange.handle_server_report(self.name, report)
-
     def _on_released(self, call: str, cause: int) -> None:
         outbound = self._set_ups.get(call)
         if outbound is not None:
