Log a connection to a session server that comes up after failed dials

Change: `server_reconnected`, with the failed dials before it, the silence, the calls that stand there and the connections from before.

--- a/pearloom/sip/liveness.py
+++ b/pearloom/sip/liveness.py
@@ -20,7 +20,7 @@
         """Start as if a message had just come, with none due."""
         self._last_sign_ms = now_ms
         self._due_since_ms = now_ms
-        self._failed_dials = 0
+        self.failed_dials = 0  # in a row
 
     def record_sign_of_life(self, now_ms: float) -> None:
         """A message, or another sign of life, came from the server."""
@@ -32,20 +32,21 @@
 
     def record_failed_dial(self) -> None:
         """A connection could not be opened."""
-        self._failed_dials += 1
+        self.failed_dials += 1
 
     def record_dial(self, now_ms: float) -> None:
         """A connection was established: the server's machine is running."""
-        self._failed_dials = 0
+        self.failed_dials = 0
         self._last_sign_ms = now_ms
 
     def is_silent(self, now_ms: float) -> bool:
         """Has the server been silent for long while a message is due?"""
-        return self._silence_ms(now_ms) >= SILENT_MS
+        return self.silence_ms(now_ms) >= SILENT_MS
 
     def is_dead(self, now_ms: float) -> bool:
         """Is the server dead, so that its established calls are to be released?"""
-        return self._failed_dials >= DEAD_DIALS and self._silence_ms(now_ms) >= DEAD_AFTER_MS
+        return self.failed_dials >= DEAD_DIALS and self.silence_ms(now_ms) >= DEAD_AFTER_MS
 
-    def _silence_ms(self, now_ms: float) -> float:
+    def silence_ms(self, now_ms: float) -> float:
+        """Return for how long the server has been silent while a message is due."""
         return now_ms - max(self._last_sign_ms, self._due_since_ms)
--- a/pearloom/sip/trunk.py
+++ b/pearloom/sip/trunk.py
@@ -197,6 +197,7 @@
             result.close()
             self._on_dial_failed(DialFailure(DialFailureKind.UNANSWERED, str(error)))
             return
+        self._log_reconnected()
         self._liveness.record_dial(self.now_ms)
         self._links.add(link)
         link.connection.start()
@@ -205,6 +206,16 @@
             if not outbound.withdrawn:
                 self._send(outbound)
 
+    def _log_reconnected(self) -> None:
+        """Log a connection that was established after failed dials: the process there may be a new one."""
+        liveness = self._liveness
+        if liveness.failed_dials:
+            log_event(
+                logging.INFO, "server_reconnected", server=self.name, failed_dials=liveness.failed_dials,
+                silent_ms=round(liveness.silence_ms(self.now_ms)),
+                standing_calls=self._exchange.established_at(self.name), older_connections=len(self._links),
+            )  # fmt: skip
+
     def _on_dial_failed(self, failure: DialFailure) -> None:
         is_refused = failure.kind is DialFailureKind.REFUSED
         log_event(logging.INFO, "dial_failed", server=self.name, refused=is_refused, reason=failure.reason)
