Release calls in time when their machine returns from an outage without them

Callers saw: calls at a session server that was lost for 5 s and came back cold were released 8.5 s after their end (8.05 s are allowed), and only because the pool list told by then.

Cause: liveness kept one last sign for a server, whoever gave it. The connection that came up after the outage, and each message on it, set the silence and the failed dials back, though they came from a new process. The only connection from before had been closed as mute, 1.9 s into the loss.

Change: two failed dials in a row and then a connection make an outage. Only a message on an earlier connection, or the release of an earlier call, shows that the process outlived it; without one the earlier calls and connections end 7.25 s after the last sign. A mute connection stays open while this is unclear. A draining server's refused dials no longer count as failed.

Why it works: a TCP connection and a call belong to one process, so what comes on them is a sign of that process and nothing else is.

--- a/benchmarks/guards/calls.py
+++ b/benchmarks/guards/calls.py
@@ -4,12 +4,13 @@
 
 from benchmarks.guards.guard import Guard
 
-CALLER, SERVER, COORDINATOR, PROCESS, SUSPENSION = (
+CALLER, SERVER, COORDINATOR, PROCESS, SUSPENSION, OUTAGE = (
     "tests/races/test_caller_leaves.py",
     "tests/races/test_servers.py",
     "tests/races/test_coordinator.py",
     "tests/races/test_process.py",
     "tests/races/test_standing_still.py",
+    "tests/races/test_outages.py",
 )
 COLD_START, SETTINGS, PROGRAM = (
     "tests/test_cold_starts.py",
@@ -31,6 +32,12 @@
     Guard("an ended connection is not chosen again", "sip/links.py", " and not link.has_ended]", "]", (SERVER,)),
     Guard("idle connections close before their server closes them", "sip/links.py", "if not link.unanswered and now_ms - link.last_used_ms >= self._idle_ms:", "if False:", (SERVER,)),
     Guard("descriptors are reserved for other uses than servers", "sip/trunk.py", "not self._links or self._directory.may_open_another", "True", (SERVER,)),
+    Guard("an outage is noted when a connection comes up", "sip/liveness.py", "if self.failed_dials >= OUTAGE_DIALS:", "if False:", (OUTAGE,)),
+    Guard("a message on an earlier connection ends the doubt", "sip/liveness.py", "        self.confirm_process(opened_ms)\n", "", (OUTAGE,)),
+    Guard("a message about an earlier call ends the doubt", "sip/server_loss.py", "            self.liveness.confirm_process(established_ms)\n", "            pass\n", (OUTAGE,)),
+    Guard("a later process says nothing of the earlier one", "sip/liveness.py", "if outage.ended_ms <= known_since_ms]", "if False]", (OUTAGE,)),
+    Guard("calls of after an outage are kept", "sip/server_loss.py", 'self._end_older(outage_ended_ms, "unconfirmed")', 'self._end_older(self._clock.now_ms() + 1, "unconfirmed")', (OUTAGE,)),
+    Guard("a mute connection is kept while calls are in doubt", "sip/trunk.py", "        elif not has_other:\n", "        elif link.connection.close(\"mute\") or not has_other:\n", (OUTAGE,)),
     Guard("callers' connections are bounded", "binary/callers.py", "if len(self._connections) < self.max_connections - self.previous_process_connections:", "if True:", (PROCESS,)),
     Guard("a frame has to arrive whole in time", "servers/coordinator.py", '    with gevent.Timeout(FRAME_TIMEOUT_S, TimeoutError("no whole frame")):\n', "    if True:\n", (COORDINATOR,)),
     Guard("an older list event has no effect", "servers/coordinator.py", "event.index > self.index:", "True:", (COORDINATOR,)),
--- a/pearloom/core/established.py
+++ b/pearloom/core/established.py
@@ -30,6 +30,11 @@
         """Return the calls at this server, by id."""
         return self._by_server.get(server, {})
 
+    def since_ms(self, server: str, call_id: str) -> float | None:
+        """Return when this call was established at this server (Unix ms), or None if it is not."""
+        call = self.at(server).get(call_id)
+        return None if call is None else call.established_ms
+
     def entries(self) -> Iterator[tuple[str, str, str, float]]:
         """Yield the id, server, called number and time of answer (Unix ms) of each call."""
         for server, calls in self._by_server.items():
--- a/pearloom/core/exchange.py
+++ b/pearloom/core/exchange.py
@@ -92,9 +92,9 @@
         """Return the number of established calls at this server."""
         return len(self._established.at(server))
 
-    def is_established_at(self, server: str, call_id: str) -> bool:
-        """Report whether this call is established at this server."""
-        return call_id in self._established.at(server)
+    def established_ms(self, server: str, call_id: str) -> float | None:
+        """Return when this call was established at this server (Unix ms), or None if it is not."""
+        return self._established.since_ms(server, call_id)
 
     def list_established(self) -> Iterator[tuple[str, str, str, float]]:
         """Yield the id, server, called number and time of answer (Unix ms) of each established call."""
--- a/pearloom/sip/link.py
+++ b/pearloom/sip/link.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import math
 from collections.abc import Callable
 from dataclasses import replace
@@ -12,6 +13,7 @@
 from pearloom.core.calls import SetUpAttempt
 from pearloom.core.connection import Connection, OutboundMessage
 from pearloom.core.errors import AttemptError, Malformed, Progress
+from pearloom.core.logs import log_event
 from pearloom.interface import Ending
 from pearloom.sip import codec as sip
 
@@ -96,12 +98,21 @@
         """A message came on this connection."""
         self.last_message_ms = self.last_used_ms = now_ms
 
+    def log_closed(self, server: str, reason: str, now_ms: float) -> None:
+        """Log this connection's end, with the set-ups that end with it (`open`).
+
+        Many lines with spoke=False and a low age: the server closes new connections at once."""
+        log_event(
+            logging.INFO, "server_closed", server=server, reason=reason, open=len(self.unanswered),
+            spoke=self.last_message_ms > self.opened_ms, age_ms=round(now_ms - self.opened_ms),
+        )  # fmt: skip
+
     def watch(self, now_ms: float) -> None:
-        """Close this connection if a message stays incomplete, or if it is mute; called periodically."""
+        """Close this connection if a message stays incomplete; report if it is mute; called periodically."""
         if now_ms - self._partial_since_ms > PARTIAL_MESSAGE_TIMEOUT_MS:
             self._on_malformed(Malformed("cut short", fatal=True))
         elif now_ms - self.mute_since_ms > MUTE_TIMEOUT_MS and not self.unanswered:
-            self.connection.close("mute")
+            self._trunk.on_link_mute(self)
 
     def _on_data(self, data: bytes) -> None:
         for message in self._decoder.feed(data):
--- a/pearloom/sip/liveness.py
+++ b/pearloom/sip/liveness.py
@@ -1,31 +1,70 @@
-"""Decides when a silent session server is considered dead. No I/O; time is passed in.
+"""Decides when the process that has a session server's calls is considered dead. No I/O; time is passed in.
 
 Guards against calls that stay established for ever at a machine that vanished: its connections stay open
-without a message, and new ones are never established.
+without a message, and new ones are never established. Guards also against a machine that comes back from an
+outage without its calls: the connections and messages of its new process say nothing of the process before.
 """
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+
 SILENT_MS = 2500.0  # of silence while a message is due, after which a new connection is opened
-DEAD_DIALS = 2  # failed dials in a row that, with DEAD_AFTER_MS, end the server's calls
+# Failed dials in a row, without a message between them, that mean no contact; one may be a lost packet.
+OUTAGE_DIALS = 2
 # Of silence. The calls of a dead machine have to be released within 8 s, but a machine that is only cut off
 # keeps its calls: this is as late as the 8 s allow, with 0.75 s for a dial.
 DEAD_AFTER_MS = 6500.0
+# From the last sign before an outage until the process has to have shown that it outlived the outage: as late
+# as the 8 s allow, with 0.75 s for a process that gets to its timers late.
+CONFIRM_WITHIN_MS = 7250.0
+
+
+@dataclass(frozen=True, slots=True)
+class Outage:
+    """A time without contact, after which another process may serve the server's address. Unix ms."""
+
+    last_sign_ms: float  # of the server, before the outage
+    ended_ms: float  # a connection was established again
 
 
 class Liveness:
-    """Tracks one server's silence and the failed dials to it."""
+    """Tracks one server's silence, failed dials, and the outages that its process may not have outlived.
+
+    A process is known by its connections and its calls: a message on a connection that is older than the end
+    of an outage, or about a call that is, can only come from the process of before."""
 
     def __init__(self, now_ms: float) -> None:
         """Start as if a message had just come, with none due."""
         self._last_sign_ms = now_ms
         self._due_since_ms = now_ms
-        self.failed_dials = 0  # in a row
+        self.failed_dials = 0  # in a row, without a message between them
+        self._outages: list[Outage] = []  # which no message has shown to be outlived; the oldest first
+
+    @property
+    def is_in_doubt(self) -> bool:
+        """Is it unknown whether the process that has the calls still runs?"""
+        return self.failed_dials >= OUTAGE_DIALS or bool(self._outages)
 
     def record_sign_of_life(self, now_ms: float) -> None:
-        """A message, or another sign of life, came from the server."""
+        """The server's machine showed that it is running."""
         self._last_sign_ms = now_ms
 
+    def record_message(self, now_ms: float, opened_ms: float) -> None:
+        """A message came on a connection that was opened at `opened_ms`."""
+        self._last_sign_ms = now_ms
+        self.failed_dials = 0
+        self.confirm_process(opened_ms)
+
+    def confirm_process(self, known_since_ms: float) -> None:
+        """The process that had a connection or call since this time still runs."""
+        if self._outages:
+            self._outages = [outage for outage in self._outages if outage.ended_ms <= known_since_ms]
+
+    def record_restart(self, started_ms: float) -> None:
+        """The pool list reported a later start: what an earlier outage may have ended is known now."""
+        self._outages = [outage for outage in self._outages if outage.last_sign_ms >= started_ms]
+
     def expect_message(self, now_ms: float) -> None:
         """From this time on a message is due; none was before."""
         self._due_since_ms = now_ms
@@ -36,6 +75,8 @@
 
     def record_dial(self, now_ms: float) -> None:
         """A connection was established: the server's machine is running."""
+        if self.failed_dials >= OUTAGE_DIALS:
+            self._outages.append(Outage(max(self._last_sign_ms, self._due_since_ms), now_ms))
         self.failed_dials = 0
         self._last_sign_ms = now_ms
 
@@ -45,7 +86,17 @@
 
     def is_dead(self, now_ms: float) -> bool:
         """Is the server dead, so that its established calls are to be released?"""
-        return self.failed_dials >= DEAD_DIALS and self.silence_ms(now_ms) >= DEAD_AFTER_MS
+        return self.failed_dials >= OUTAGE_DIALS and self.silence_ms(now_ms) >= DEAD_AFTER_MS
+
+    def take_unconfirmed_ms(self, now_ms: float) -> float | None:
+        """Return the end of the last outage that the process has not outlived by now, and forget it.
+
+        Calls established before that time are to be released. None: there is no such outage."""
+        expired = [outage for outage in self._outages if now_ms - outage.last_sign_ms >= CONFIRM_WITHIN_MS]
+        if not expired:
+            return None
+        self._outages = [outage for outage in self._outages if outage not in expired]
+        return max(outage.ended_ms for outage in expired)
 
     def silence_ms(self, now_ms: float) -> float:
         """Return for how long the server has been silent while a message is due."""
--- /dev/null
+++ b/pearloom/sip/server_loss.py
@@ -0,0 +1,66 @@
+"""Ends the calls and connections of a session server that is lost, and notices when it may have been."""
+
+from __future__ import annotations
+
+import logging
+
+from pearloom.core.logs import log_event
+from pearloom.servers.directory import Directory
+from pearloom.sip.links import Links
+from pearloom.sip.liveness import Liveness
+
+
+class ServerLoss:
+    """The losses of one server: what its calls and connections do not outlive."""
+
+    def __init__(self, directory: Directory, server: str, links: Links) -> None:
+        """Start as if a message had just come. `server`: its id; `links`: its connections."""
+        self._exchange, self._clock = directory.exchange, directory.clock
+        self._server, self._links = server, links
+        self.liveness = Liveness(directory.clock.now_ms())
+        self.is_ending = False  # while the connections are closed because the server is lost
+
+    def record_connected(self, opened_ms: float) -> None:
+        """A connection was established: after failed dials, the process at its other end may be a new one."""
+        liveness = self.liveness
+        if liveness.failed_dials:
+            log_event(
+                logging.INFO,
+                "server_reconnected",
+                server=self._server,
+                failed_dials=liveness.failed_dials,
+                silent_ms=round(liveness.silence_ms(opened_ms)),
+                standing_calls=self._exchange.established_at(self._server),
+                older_connections=len(self._links),
+            )
+        liveness.record_dial(opened_ms)
+
+    def confirm_by_call(self, call: str) -> None:
+        """The server sent something about this call: if it is established, its process still runs."""
+        established_ms = self._exchange.established_ms(self._server, call)
+        if established_ms is not None:
+            self.liveness.confirm_process(established_ms)
+
+    def end_all(self, reason: str) -> None:
+        """End all calls and connections: the server is dead, cut off, or replaced."""
+        self._exchange.handle_server_loss(self._server, self._clock.now_ms() + 1, reason)
+        self.is_ending = True
+        self._links.close_all(reason)
+        self.is_ending = False
+
+    def end_restarted(self, started_ms: float) -> None:
+        """End what is older than the server's process: no release of its earlier calls will come."""
+        self._end_older(started_ms, "restarted")
+        self.liveness.record_restart(started_ms)
+
+    def end_unconfirmed(self) -> None:
+        """End what is older than an outage that the process has not shown to outlive; called periodically.
+
+        Guards against calls that ended with a machine's outage, and stay established since it is back."""
+        outage_ended_ms = self.liveness.take_unconfirmed_ms(self._clock.now_ms())
+        if outage_ended_ms is not None:
+            self._end_older(outage_ended_ms, "unconfirmed")
+
+    def _end_older(self, before_ms: float, reason: str) -> None:
+        self._exchange.handle_server_loss(self._server, before_ms, reason)
+        self._links.close_older(before_ms, reason)
--- a/pearloom/sip/trunk.py
+++ b/pearloom/sip/trunk.py
@@ -21,8 +21,9 @@
 from pearloom.sip.dialling import DialPolicy
 from pearloom.sip.link import Link, OutboundSetUp, refusal
 from pearloom.sip.links import Links
-from pearloom.sip.liveness import SILENT_MS, Liveness
+from pearloom.sip.liveness import SILENT_MS
 from pearloom.sip.requests import sequence_of
+from pearloom.sip.server_loss import ServerLoss
 
 MUTE_FROM_MS = 100.0  # a set-up given up after this time with no message since makes its connection mute
 REDIAL_DELAY_MS = 250.0  # after a failed dial to a server that has calls
@@ -49,13 +50,13 @@
         self.name = server.entry.server
         self.server = server
         self._links = Links(idle_ms)
-        self._is_lost = False  # while connections are closed because the server is lost
+        self._loss = ServerLoss(directory, self.name, self._links)
+        self._liveness = self._loss.liveness
         self.dialling = False
         self._waiting: list[OutboundMessage] = []
         self._set_ups: dict[str, OutboundSetUp] = {}
         self._given_up = RecentValues[tuple[str, int]](GIVEN_UP_KEPT_MS)  # number, CSeq by call
         self._byes = RecentValues[OutboundMessage](BYE_RESEND_MS)
-        self._liveness = Liveness(directory.clock.now_ms())
 
     @property
     def is_ready(self) -> bool:
@@ -139,10 +140,7 @@
         """Apply the server's new entry in the pool list."""
         previous, self.server = self.server, server
         if server.entry.started_us > previous.entry.started_us:
-            # The server process has restarted: no release of its earlier calls will come.
-            started_ms = server.entry.started_us / 1000.0
-            self._exchange.handle_server_loss(self.name, started_ms, "restarted")
-            self._links.close_older(started_ms, "restarted")
+            self._loss.end_restarted(server.entry.started_us / 1000.0)
         if server.entry.state is PoolState.GONE:
             self.watch()
 
@@ -197,8 +195,7 @@
             result.close()
             self._on_dial_failed(DialFailure(DialFailureKind.UNANSWERED, str(error)))
             return
-        self._log_reconnected()
-        self._liveness.record_dial(self.now_ms)
+        self._loss.record_connected(link.opened_ms)
         self._links.add(link)
         link.connection.start()
         waiting, self._waiting = self._waiting, []
@@ -206,21 +203,9 @@
             if not outbound.withdrawn:
                 self._send(outbound)
 
-    def _log_reconnected(self) -> None:
-        """Log a connection that was established after failed dials: the process there may be a new one."""
-        liveness = self._liveness
-        if liveness.failed_dials:
-            log_event(
-                logging.INFO, "server_reconnected", server=self.name, failed_dials=liveness.failed_dials,
-                silent_ms=round(liveness.silence_ms(self.now_ms)),
-                standing_calls=self._exchange.established_at(self.name), older_connections=len(self._links),
-            )  # fmt: skip
-
     def _on_dial_failed(self, failure: DialFailure) -> None:
         is_refused = failure.kind is DialFailureKind.REFUSED
         log_event(logging.INFO, "dial_failed", server=self.name, refused=is_refused, reason=failure.reason)
-        if failure.kind is not DialFailureKind.NOT_TRIED:
-            self._liveness.record_failed_dial()
         waiting, self._waiting = self._waiting, []
         for outbound in waiting:
             if isinstance(outbound, OutboundSetUp):
@@ -232,6 +217,8 @@
             # A draining server refuses new connections while its calls go on: its machine is running.
             self._liveness.record_sign_of_life(self.now_ms)
             return
+        if failure.kind is not DialFailureKind.NOT_TRIED:
+            self._liveness.record_failed_dial()
         # If no connection is left, a refused one proves that the process has ended. One that is never
         # established may be due to a lost packet, so it takes two of them, and a long silence.
         if is_refused and not self._links:
@@ -249,10 +236,7 @@
         """The server is dead, cut off, or replaced: release its calls and close its connections."""
         self._waiting = [outbound for outbound in self._waiting if isinstance(outbound, OutboundSetUp)]
         self._byes.clear()
-        self._exchange.handle_server_loss(self.name, self._directory.clock.now_ms() + 1, reason)
-        self._is_lost = True
-        self._links.close_all(reason)
-        self._is_lost = False
+        self._loss.end_all(reason)
 
     def finish(self) -> None:
         """Do nothing: SIP calls belong to no connection and outlive this process."""
@@ -266,23 +250,18 @@
         """A connection has ended, and with it its unanswered set-ups, but no established call."""
         self._links.remove(link)
         if reason != "done":
-            # `open`: set-ups ended with it. Many with spoke=False and a low age: the server closes at once.
-            has_spoken, age_ms = link.last_message_ms > link.opened_ms, round(self.now_ms - link.opened_ms)
-            log_event(
-                logging.INFO, "server_closed", server=self.name, reason=reason, open=len(link.unanswered),
-                spoke=has_spoken, age_ms=age_ms,
-            )  # fmt: skip
+            link.log_closed(self.name, reason, self.now_ms)
         if link.unanswered:
             self._dial_policy.record_break(self.now_ms)
         for set_up in list(link.unanswered.values()):
             self._end_attempt(
-                set_up, AttemptError(set_up.progress, reason, is_connection_fault=not self._is_lost)
+                set_up, AttemptError(set_up.progress, reason, is_connection_fault=not self._loss.is_ending)
             )
         resent = self._byes.unexpired(self.now_ms)
         if self._links:
             for outbound in resent:
                 self._send(outbound)
-            if self._exchange.established_at(self.name) and not self._is_lost:
+            if self._exchange.established_at(self.name) and not self._loss.is_ending:
                 # A release sent on the ended connection may be lost; the server repeats it on the next one.
                 delay_ms = self._dial_policy.delay_after_close_ms(self.now_ms)
                 if delay_ms is not None:
@@ -303,6 +282,7 @@
     def watch(self) -> None:
         """Check whether the server has fallen silent while a message is due; runs periodically."""
         self._links.watch(self.now_ms)
+        self._loss.end_unconfirmed()
         if not self._expects_message:
             return
         is_gone = self.server.entry.state is PoolState.GONE
@@ -319,6 +299,16 @@
             self._links.close_spare()
             self.dial()
 
+    def on_link_mute(self, link: Link) -> None:
+        """Close a connection that left a set-up unanswered, unless it is needed to tell whether calls stand.
+
+        Guards against cutting the calls of a server that was cut off: its old connections speak again."""
+        has_other = self._links.least_used() is not None
+        if not self._exchange.established_at(self.name) or (has_other and not self._liveness.is_in_doubt):
+            link.connection.close("mute")
+        elif not has_other:
+            self.dial()
+
     def on_malformed(self, message: Malformed) -> None:
         """Log and count bytes from the server that are not valid SIP."""
         self._directory.record_malformed(self.name, message.reason, closed=message.fatal)
@@ -326,7 +316,7 @@
     def on_message(self, link: Link, message: sip.Request | sip.Response) -> None:
         """Handle one message of the server."""
         link.record_message(self.now_ms)
-        self._liveness.record_sign_of_life(link.last_message_ms)
+        self._liveness.record_message(link.last_message_ms, link.opened_ms)
         call = sip.call_of(message)
         if "x-circuits" in message.headers:
             self._directory.handle_report(self.name, "X-Circuits", message.headers["x-circuits"])
@@ -352,6 +342,7 @@
         if outbound is not None:
             self._end_attempt(outbound, AttemptError(Progress.ANSWERED, "released", Ending.RESET))
         else:
+            self._loss.confirm_by_call(call)
             self._exchange.handle_server_release(self.name, call, cause)
 
     def _on_response(self, link: Link, call: str, response: sip.Response) -> None:
@@ -387,7 +378,7 @@
             outbound.progress = Progress.ANSWERED
             if self._exchange.handle_answer(call, outbound.set_up.attempt, response.body):
                 return
-        if not self._exchange.is_established_at(self.name, call):
+        if self._exchange.established_ms(self.name, call) is None:
             # The answer crossed a CANCEL; without a BYE the call would stay established with no caller.
             self.release(call, number, CAUSE_NORMAL)
 
