Hand over silence, failed dials and outages of session servers at an upgrade

Callers would see: calls at a machine that is lost before an upgrade stand until 6.5 s after it, past the 8 s from their end, or until the list tells if the machine comes back meanwhile.

Ruled out: the previous process as a stop-gap. It ends such calls and tells the next one for as long as it lives (the tests passed with its timers running), but it ends within seconds.

Change: the hand-over's first message has, for each server with calls, since when it is silent, its failed dials and its open outages; later messages from servers follow with the age of the connection or call that they show. An earlier version skips both fields and sends none, so upgrades between the versions work as before. Channel and paths moved to admin/handover_channel.py, unchanged.

--- a/benchmarks/guards/calls.py
+++ b/benchmarks/guards/calls.py
@@ -38,6 +38,8 @@
     Guard("a later process says nothing of the earlier one", "sip/liveness.py", "if outage.ended_ms <= known_since_ms]", "if False]", (OUTAGE,)),
     Guard("calls of after an outage are kept", "sip/server_loss.py", 'self._end_older(outage_ended_ms, "unconfirmed")', 'self._end_older(self._clock.now_ms() + 1, "unconfirmed")', (OUTAGE,)),
     Guard("a mute connection is kept while calls are in doubt", "sip/trunk.py", "        elif not has_other:\n", "        elif link.connection.close(\"mute\") or not has_other:\n", (OUTAGE,)),
+    Guard("an upgrade hands over the contact with servers", "admin/handover.py", "                tracker.inherit(inherited.contacts[server])\n", "                pass\n", (OUTAGE,)),
+    Guard("an upgrade passes on later messages of servers", "admin/handover.py", "                    trackers[server].record_message(*message[\"servers\"][server])\n", "                    pass\n", (OUTAGE,)),
     Guard("callers' connections are bounded", "binary/callers.py", "if len(self._connections) < self.max_connections - self.previous_process_connections:", "if True:", (PROCESS,)),
     Guard("a frame has to arrive whole in time", "servers/coordinator.py", '    with gevent.Timeout(FRAME_TIMEOUT_S, TimeoutError("no whole frame")):\n', "    if True:\n", (COORDINATOR,)),
     Guard("an older list event has no effect", "servers/coordinator.py", "event.index > self.index:", "True:", (COORDINATOR,)),
--- a/pearloom/admin/handover.py
+++ b/pearloom/admin/handover.py
@@ -8,35 +8,31 @@
 
 from __future__ import annotations
 
-import json
 import logging
-import os
 import socket as plain_socket
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 from pathlib import Path
-from typing import Any
 
 import gevent
 from gevent import socket
 from gevent.event import Event
 
+from pearloom.admin.handover_channel import READ_BYTES, Channel, Message, encode, with_short_path
 from pearloom.binary.callers import Callers
 from pearloom.core.config import Config, ListUpdate, Server
 from pearloom.core.connection import accept_connections
 from pearloom.core.exchange import Exchange
 from pearloom.core.logs import log_event, log_exception
 from pearloom.interface import PoolEntry, PoolState
+from pearloom.servers.contact import Contact, Heard
 from pearloom.servers.coordinator import Coordinator
 from pearloom.servers.directory import Directory
 
 REPLY_TIMEOUT_S = 1.5  # a previous process that takes longer hangs; the next one then listens beside it
 SEND_INTERVAL_S = 0.03  # between two messages that report changes to the peer process
-READ_BYTES = 64 * 1024
-MAX_LINE_BYTES = 4 * 1024 * 1024
 CALLS_PER_MESSAGE = 500
-Message = dict[str, Any]
 
 
 def socket_path(config: Config, folder: str) -> Path:
@@ -44,46 +40,6 @@
     return Path(folder) / f"pearloom-{config.listen[0]}-{config.listen[1]}.sock"
 
 
-def _with_short_path(path: Path, operation: Callable[[str], None]) -> None:
-    """Call the operation with a short alias of the path.
-
-    Guards against a folder whose name is too long for the address of a Unix socket."""
-    folder = os.open(path.parent, os.O_PATH | os.O_DIRECTORY)
-    try:
-        operation(f"/proc/self/fd/{folder}/{path.name}")
-    finally:
-        os.close(folder)
-
-
-class Channel:
-    """Exchanges JSON messages, one a line, over a connected socket."""
-
-    def __init__(self, sock: socket.socket, rest: bytes = b"") -> None:
-        """Take a connected socket and the bytes already read from it."""
-        self.sock = sock
-        self._rest = rest
-
-    def receive(self) -> Message | None:
-        """Return the next message, or None at the end of the stream and after an overlong line."""
-        while b"\n" not in self._rest:
-            data = self.sock.recv(READ_BYTES)
-            if not data or len(self._rest) > MAX_LINE_BYTES:
-                return None
-            self._rest += data
-        line, _, self._rest = self._rest.partition(b"\n")
-        message: Message = json.loads(line)
-        return message
-
-    def send(self, message: Message) -> None:
-        """Write one message."""
-        self.sock.sendall(encode(message))
-
-
-def encode(message: Message) -> bytes:
-    """Return the message as one line of JSON."""
-    return json.dumps(message, separators=(",", ":")).encode("ascii") + b"\n"
-
-
 @dataclass(slots=True)
 class InheritedState:
     """What the next process receives from the previous one at its start."""
@@ -93,6 +49,7 @@
     is_drained: bool
     known_digest: str  # of the configuration's known list, which the index counts from
     pool_list: ListUpdate
+    contacts: dict[str, Contact]  # by server
 
     def update_config(self, config: Config) -> Config:
         """Return the configuration with the inherited pool list.
@@ -108,7 +65,7 @@
     sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
     sock.settimeout(REPLY_TIMEOUT_S)
     try:
-        _with_short_path(path, sock.connect)
+        with_short_path(path, sock.connect)
         data, fds, _, _ = plain_socket.recv_fds(sock, READ_BYTES, 1)
         if not fds:
             raise ConnectionError("the previous process sent no listening socket")
@@ -124,7 +81,9 @@
             for name, cell, state, started_us, host, port in first["servers"]
         )
         pool_list = ListUpdate(first["index"], True, servers)
-        return InheritedState(channel, listener, first["drained"], first["known"], pool_list)
+        # Absent if the previous process runs an earlier version.
+        contacts = {name: Contact.from_json(fields) for name, fields in first.get("contacts", {}).items()}
+        return InheritedState(channel, listener, first["drained"], first["known"], pool_list, contacts)
     except (FileNotFoundError, ConnectionRefusedError):
         pass  # no process serves this address, or the last one has ended: a plain start
     except (OSError, ValueError, KeyError, TypeError) as error:
@@ -181,7 +140,7 @@
         self._listener = listener = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
         try:
             path.unlink(missing_ok=True)  # guards against an earlier process's file, which would block bind
-            _with_short_path(path, listener.bind)
+            with_short_path(path, listener.bind)
             path.chmod(0o600)
             listener.listen(4)
         except OSError as error:
@@ -200,6 +159,9 @@
     def inherit(self, inherited: InheritedState) -> None:
         """Apply the messages of the previous process from now on, and send it this process's changes."""
         self._previous = _PeerProcess(inherited.channel)
+        for server, tracker in self._servers.contact_trackers().items():
+            if server in inherited.contacts:
+                tracker.inherit(inherited.contacts[server])
         if inherited.is_drained:
             self._callers.drain()
         gevent.spawn(self._read_previous, self._previous)
@@ -245,6 +207,8 @@
             return
         self._next = peer = _PeerProcess(Channel(sock))
         try:
+            # Of messages, the next process gets those after what `contacts` holds.
+            collect = self._change_collector(self._messages_heard())
             servers = [
                 [
                     server.entry.server,
@@ -262,13 +226,18 @@
                 "servers": servers,
                 "zones": {server.entry.server: server.zone for server in self._servers.listed_servers()},
                 "drained": self._callers.drained,
+                "contacts": {
+                    name: tracker.contact.as_json()
+                    for name, tracker in self._servers.contact_trackers().items()
+                    if self._exchange.established_at(name)
+                },
             }
             # The socket goes with the first byte; the line may be longer than one write takes.
             line = encode(first)
             plain_socket.send_fds(sock, [line[:1]], [listener.fileno()])
             sock.sendall(line[1:])
             log_event(logging.INFO, "handover_begun", standing_calls=self._exchange.established_calls)
-            gevent.spawn(self._send_changes, peer, self._change_collector())
+            gevent.spawn(self._send_changes, peer, collect)
             while (message := peer.channel.receive()) is not None:
                 self._handle_from_next(peer, message)
         except (OSError, ValueError, KeyError) as error:
@@ -297,14 +266,19 @@
             case _:
                 self._handle_from_either(message)
 
-    def _change_collector(self) -> Callable[[], list[Message]]:
-        """Return a function that returns, at each call, what has changed for the next process."""
+    def _messages_heard(self) -> dict[str, Heard]:
+        return {name: tracker.heard for name, tracker in self._servers.contact_trackers().items()}
+
+    def _change_collector(self, heard: dict[str, Heard]) -> Callable[[], list[Message]]:
+        """Return a function that returns, at each call, what has changed for the next process.
+
+        `heard`: the servers' last messages that it knows already."""
         established: set[str] = set()
         open_ids: set[str] = set()
         sent_connections = -1
 
         def collect() -> list[Message]:
-            nonlocal established, open_ids, sent_connections
+            nonlocal established, open_ids, sent_connections, heard
             now = {call: rest for call, *rest in self._exchange.list_established()}
             begun = [[call, *now[call]] for call in now if call not in established]
             ended = [call for call in established if call not in now]
@@ -319,7 +293,11 @@
                 messages.append({"say": "open", "calls": sorted(open_now)})
             if sent_connections != (connections := self._callers.connections):
                 messages.append({"say": "held", "connections": connections})
-            established, open_ids, sent_connections = set(now), open_now, connections
+            heard_now = self._messages_heard()
+            if news := {name: last for name, last in heard_now.items() if heard.get(name) != last}:
+                fields = {name: [last.at_ms, last.known_since_ms] for name, last in news.items()}
+                messages.append({"say": "heard", "servers": fields})
+            established, open_ids, sent_connections, heard = set(now), open_now, connections, heard_now
             return messages
 
         return collect
@@ -361,6 +339,10 @@
                 self._callers.previous_process_connections = message["connections"]
             case "release":
                 self._callers.release(message["call"], message["cause"], None)
+            case "heard":
+                trackers = self._servers.contact_trackers()
+                for server in trackers.keys() & message["servers"].keys():
+                    trackers[server].record_message(*message["servers"][server])
             case "yielded":
                 self._previous_stopped.set()
             case _:
--- a/pearloom/iax2/trunk.py
+++ b/pearloom/iax2/trunk.py
@@ -61,6 +61,7 @@
 
     dialling = False  # UDP needs no connection
     connections = 0  # all legs share one socket
+    contact_tracker = None  # legs are not handed over at an upgrade
 
     def __init__(self, directory: Directory, server: Server, secret: str, first_number: int) -> None:
         """Prepare the trunk; `first_number`, random for each process, keeps frames of old legs apart."""
--- a/pearloom/servers/directory.py
+++ b/pearloom/servers/directory.py
@@ -14,6 +14,7 @@
 from pearloom.core.exchange import Exchange
 from pearloom.core.logs import log_event, log_exception
 from pearloom.interface import PoolState
+from pearloom.servers.contact import ContactTracker
 from pearloom.settings import read_report
 
 WATCH_INTERVAL_MS = 100.0
@@ -43,6 +44,10 @@
     def connections(self) -> int:
         """The number of connections, open or being opened."""
 
+    @property
+    def contact_tracker(self) -> ContactTracker | None:
+        """What an upgrade hands over of the contact with the server, if its calls are handed over."""
+
     def dial(self) -> None:
         """Open a connection, if the protocol has connections."""
 
@@ -175,6 +180,11 @@
         """Has each connection that was being opened been established, or failed?"""
         return not any(trunk.dialling for trunk in self._trunks.values())
 
+    def contact_trackers(self) -> dict[str, ContactTracker]:
+        """What an upgrade hands over of the contact with the servers, by their ids."""
+        trackers = {name: trunk.contact_tracker for name, trunk in self._trunks.items()}
+        return {name: tracker for name, tracker in trackers.items() if tracker is not None}
+
     def dial_servers_with_calls(self) -> None:
         """Open another connection to each server that has established calls."""
         for trunk in self._trunks.values():
--- a/pearloom/sip/liveness.py
+++ b/pearloom/sip/liveness.py
@@ -7,7 +7,9 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import replace
+
+from pearloom.servers.contact import Contact, Heard, Outage
 
 SILENT_MS = 2500.0  # of silence while a message is due, after which a new connection is opened
 # Failed dials in a row, without a message between them, that mean no contact; one may be a lost packet.
@@ -20,14 +22,6 @@
 CONFIRM_WITHIN_MS = 7250.0
 
 
-@dataclass(frozen=True, slots=True)
-class Outage:
-    """A time without contact, after which another process may serve the server's address. Unix ms."""
-
-    last_sign_ms: float  # of the server, before the outage
-    ended_ms: float  # a connection was established again
-
-
 class Liveness:
     """Tracks one server's silence, failed dials, and the outages that its process may not have outlived.
 
@@ -40,6 +34,7 @@
         self._due_since_ms = now_ms
         self.failed_dials = 0  # in a row, without a message between them
         self._outages: list[Outage] = []  # which no message has shown to be outlived; the oldest first
+        self.heard = Heard(0.0, 0.0)  # the last message
 
     @property
     def is_in_doubt(self) -> bool:
@@ -52,12 +47,15 @@
 
     def record_message(self, now_ms: float, opened_ms: float) -> None:
         """A message came on a connection that was opened at `opened_ms`."""
-        self._last_sign_ms = now_ms
+        self._last_sign_ms = max(now_ms, self._last_sign_ms)
         self.failed_dials = 0
+        self.heard = Heard(now_ms, opened_ms)
         self.confirm_process(opened_ms)
 
     def confirm_process(self, known_since_ms: float) -> None:
         """The process that had a connection or call since this time still runs."""
+        if known_since_ms < self.heard.known_since_ms:
+            self.heard = replace(self.heard, known_since_ms=known_since_ms)
         if self._outages:
             self._outages = [outage for outage in self._outages if outage.ended_ms <= known_since_ms]
 
@@ -65,6 +63,20 @@
         """The pool list reported a later start: what an earlier outage may have ended is known now."""
         self._outages = [outage for outage in self._outages if outage.last_sign_ms >= started_ms]
 
+    @property
+    def contact(self) -> Contact:
+        """What the next process of an upgrade has to know at its start."""
+        silent_since_ms = max(self._last_sign_ms, self._due_since_ms)
+        return Contact(silent_since_ms, self.failed_dials, tuple(self._outages))
+
+    def inherit(self, contact: Contact) -> None:
+        """Go on from what the previous process of an upgrade knows.
+
+        Guards against a silence or an outage that is counted anew from the upgrade on."""
+        self._last_sign_ms = self._due_since_ms = contact.silent_since_ms
+        self.failed_dials = contact.failed_dials
+        self._outages = list(contact.outages)
+
     def expect_message(self, now_ms: float) -> None:
         """From this time on a message is due; none was before."""
         self._due_since_ms = now_ms
--- a/pearloom/sip/trunk.py
+++ b/pearloom/sip/trunk.py
@@ -51,7 +51,7 @@
         self.server = server
         self._links = Links(idle_ms)
         self._loss = ServerLoss(directory, self.name, self._links)
-        self._liveness = self._loss.liveness
+        self.contact_tracker = self._liveness = self._loss.liveness
         self.dialling = False
         self._waiting: list[OutboundMessage] = []
         self._set_ups: dict[str, OutboundSetUp] = {}
--- a/tests/races/test_outages.py
+++ b/tests/races/test_outages.py
@@ -11,6 +11,7 @@
 
 from pearloom.sip.liveness import CONFIRM_WITHIN_MS, OUTAGE_DIALS, SILENT_MS
 from pearloom.sip.trunk import REDIAL_DELAY_MS
+from tests.player import encode
 from tests.races.harness import CALL, OPTIONS, SECOND, Harness, harness, set_up
 
 __all__ = ["harness"]
@@ -165,3 +166,66 @@
     advance_until(harness, lost_ms + RELEASE_DUE_MS)
     harness.play_steps(("c1", "<", f"(0c {CALL} 2d(29))"))
     assert harness.softswitch.exchange.is_established(SECOND)
+
+
+def await_dials(harness: Harness) -> None:
+    with gevent.Timeout(5, TimeoutError("a dial does not end")):
+        while not harness.softswitch.servers.has_finished_dialling:
+            gevent.sleep(0.02)
+
+
+def upgrade(harness: Harness) -> None:
+    """Let the next process take over; the caller comes to it with a set-up of its own."""
+    harness.play_steps(
+        ("upgrade", "", ""), ("s2", "opens", ""), ("c1", "opens", ""), ("c2", "opens", ""),
+        ("c1", ">", set_up(SECOND, first_choice=1)),
+    )  # fmt: skip
+    harness.await_invite("s2")
+
+
+def accept_all(harness: Harness) -> None:
+    """Accept connections again, from both processes of an upgrade, and keep them open without a message."""
+    accepted: list[socket.socket] = []
+
+    def accept() -> None:
+        while True:
+            accepted.append(harness.listeners["s1"].accept()[0])
+
+    gevent.spawn(accept)
+
+
+@pytest.mark.parametrize("returns", [False, True])
+def test_calls_at_a_lost_machine_are_released_within_8_s_over_an_upgrade(
+    harness: Harness, returns: bool
+) -> None:
+    """Guards against a silence or an outage that the next process counts anew from its start on."""
+    establish(harness, CALL)
+    lost_ms = lose_contact(harness)
+    upgrade(harness)
+    harness.previous_softswitches.clear()  # its timers do nothing any more, as if it had ended
+    if returns:
+        accept_all(harness)
+    while harness.clock.now_ms() < lost_ms + RELEASE_DUE_MS:
+        await_dials(harness)
+        harness.advance_ms(STEP_MS)
+    assert not harness.softswitch.exchange.is_established(CALL)
+    harness.peers["c1"].settimeout(5)
+    assert encode(f"(0c {CALL} 2d(29))") in harness.peers["c1"].recv(65536)
+
+
+def test_a_message_to_the_previous_process_keeps_the_calls_of_a_server_that_was_cut_off(
+    harness: Harness,
+) -> None:
+    """Guards against cutting calls whose process spoke on a connection that the previous process holds."""
+    establish(harness, CALL)
+    lose_contact(harness)
+    upgrade(harness)
+    accept_all(harness)
+    await_dials(harness)
+    harness.advance_ms(STEP_MS)
+    await_dials(harness)
+    speak_on_the_old_connection(harness)
+    for _ in range(20):
+        harness.advance_ms(STEP_MS)
+    assert harness.softswitch.exchange.is_established(CALL)
+    harness.play_steps(("unseen", "server_lost", ""))
