Send an IAX2 INVAL from the call number that the unknown frame was sent to

Callers would see: calls at an IAX2 server that is lost for 5 s and comes back without them stand for longer than 8.05 s if the server goes on with new calls.

A peer matches frames by both numbers (IaxTrunk._leg_of), so it skipped every INVAL, and the check of all legs that one INVAL is to start never ran. The 6.5 s of silence that hid this do not run while the peer speaks on new legs.

Change: the source is the destination of the frame that is answered; replies to frames that name none are as before.

--- a/pearloom/iax2/legs.py
+++ b/pearloom/iax2/legs.py
@@ -105,10 +105,13 @@
 
 
 def answer_without_leg(frame: FullFrame, subclass: Iax, elements: bytes = b"") -> bytes:
-    """Return a reply to a frame that belongs to no leg, with NO_LEG as this side's call number."""
+    """Return a reply to a frame that belongs to no leg.
+
+    Its source is the call number that the frame was sent to, so that the peer finds its leg by both numbers;
+    NO_LEG for a frame that names none."""
     return encode_full(
         FullFrame(
-            NO_LEG,
+            frame.destination or NO_LEG,
             frame.source,
             frame.timestamp,
             0,
--- a/tests/iax2/test_failures.py
+++ b/tests/iax2/test_failures.py
@@ -140,3 +140,29 @@
         assert_settled(stage)
         retries = count(stage, EntryKind.SET_UP) - count(stage, EntryKind.OFFERED)
         assert retries >= 2, "no attempt followed an uncertain one"
+
+
+@pytest.mark.parametrize("outage_s", [5.0])
+def test_calls_of_a_server_that_restarts_unnoticed_and_goes_on_with_new_ones_are_released_within_8_s(
+    outage_s: float,
+) -> None:
+    """Guards against old legs that are taken to stand since the server's new process speaks on new ones."""
+    with running_stage(Testbed(23, sip=(), iax2=(LONG,))) as stage:
+        for number in range(20):
+            stage.callers[number % 2].place(stage.next_set_up())
+            gevent.sleep(0.02)
+        gevent.sleep(0.1)
+        lost = [entry.call for entry in stage.journal.entries if entry.kind is EntryKind.ESTABLISHED]
+        assert len(lost) >= 10
+        server = stage.iax2[0]
+        server.die()
+        due_s = time.time() + 8.05
+        server.silent = True
+        server.revive()
+        gevent.sleep(outage_s)
+        server.silent = False
+        while time.time() < due_s:
+            stage.callers[0].place(stage.next_set_up())
+            gevent.sleep(0.2)
+        released = {entry.call for entry in stage.journal.entries if entry.kind is EntryKind.RELEASED}
+        assert not set(lost) - released, stage.log()[-3000:]
