Fill the socket until the system makes no more room in the test of a blocked write

Cause: the test's premise failed. The receiving system makes room when probes of a full window arrive, 0.2 s apart and more, after the test had filled the socket in 20 quick rounds; the INVITE then left before the caller gave up, as it should.

Change: the socket counts as full once no byte was taken for 2 s.

With the guard removed (a blocking send) it fails.

--- a/tests/races/test_caller_leaves.py
+++ b/tests/races/test_caller_leaves.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import time
 
 import gevent
 import pytest
@@ -15,6 +16,9 @@
 __all__ = ["harness"]
 WAYS_TO_LEAVE = ["close", "reset", "give up", "half-close"]
 INVITE = b"INVITE "
+FULL_FOR_S = (
+    2.0  # several probes of a full window: the first comes after 0.2 s, each interval is twice as long
+)
 
 
 @pytest.mark.parametrize("how", WAYS_TO_LEAVE)
@@ -105,18 +109,30 @@
     assert INVITE not in harness.received_by("s1") + harness.received_by("s2")
 
 
+def fill_until_no_room_is_made(sock: socket.socket) -> int:
+    """Send until the system takes nothing more; returns the number of bytes.
+
+    The peer reads nothing, but its kernel makes more room when the sender's probes of a full window arrive:
+    the connection counts as full once none was made for `FULL_FOR_S`."""
+    filled = 0
+    full_since_s = time.monotonic()
+    with gevent.Timeout(30, TimeoutError("the system goes on to make room")):
+        while time.monotonic() - full_since_s < FULL_FOR_S:
+            with contextlib.suppress(BlockingIOError):
+                while True:
+                    filled += sock.send(b"\r\n" * 2000, 0, 0.0)
+                    full_since_s = time.monotonic()
+            gevent.sleep(0.02)
+    return filled
+
+
 def test_a_set_up_queued_to_a_server_that_reads_nothing_is_withdrawn(harness: Harness) -> None:
     """Guards against a set-up sent when a blocked connection accepts bytes again, its caller long gone."""
     server = harness.peers["s1"]
     link = harness.softswitch.servers._trunks["s-00000001"]._links.newest()  # type: ignore[attr-defined]
     softswitch_end = link.connection._sock
     softswitch_end.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
-    filled = 0
-    for _ in range(20):  # the server reads nothing, but its kernel may make more room
-        with contextlib.suppress(BlockingIOError):
-            while True:
-                filled += softswitch_end.send(b"\r\n" * 2000, 0, 0.0)
-        harness.settle()
+    filled = fill_until_no_room_is_made(softswitch_end)
     harness.play_steps(("c1", ">", set_up()))
     harness.settle()
     leave(harness, "give up")
