--- a/pearloom/fakes/sip_server.py
+++ b/pearloom/fakes/sip_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import struct
 from dataclasses import dataclass
 from random import Random
 
@@ -16,6 +17,8 @@
 from pearloom.sip import codec as sip
 
 PROTOCOL = "sip"
+BACKLOG = 64  # connections that the system establishes before they are accepted
+FILLERS = 2  # connections that fill a backlog of 0
 # SIP status and X-Why header of each Q.850 cause that a profile may name.
 _STATUS = {42: (503, "acc"), 34: (503, "atb"), 17: (486, "sub"), 27: (480, ""), 38: (504, ""), 41: (500, "")}
 
@@ -40,10 +43,12 @@
         self._random = Random(seed)
         self._calls: dict[str, _Call] = {}
         self._socks: list[socket.socket] = []
+        self._serving: list[gevent.Greenlet[..., None]] = []
+        self._lost: list[socket.socket] = []  # from before the machine's loss, and those that fill the queue
         self._listener = socket.socket()
         self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self._listener.bind(("127.0.0.1", 0))
-        self._listener.listen(64)
+        self._listener.listen(BACKLOG)
         self.address: Address = self._listener.getsockname()
         self._accepting = gevent.spawn(self._accept)
 
@@ -56,7 +61,7 @@
         while True:
             sock, _ = self._listener.accept()
             self._socks.append(sock)
-            gevent.spawn(self._serve, sock)
+            self._serving.append(gevent.spawn(self._serve, sock))
 
     def _serve(self, sock: socket.socket) -> None:
         decoder: Decoder[sip.Request | sip.Response] = sip.Decoder()
@@ -158,10 +163,39 @@
         self._calls.clear()
         self.close()
 
+    def lose_machine(self) -> None:
+        """Vanish: all calls end, open connections stay open and silent, new ones are never established."""
+        self._journal.add(EntryKind.DIED, self.server)
+        self._calls.clear()
+        gevent.killall([self._accepting, *self._serving])
+        self._lost, self._socks = self._socks, []
+        self._listener.listen(0)
+        for _ in range(FILLERS):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex(self.address)
+            self._lost.append(filler)
+
+    def return_cold(self) -> None:
+        """Come back without calls and connections: one from before is reset by its first byte."""
+        for sock in self._lost[:-FILLERS]:
+            gevent.spawn(self._reset_on_data, sock)
+        for filler in self._lost[-FILLERS:]:
+            filler.close()
+        self._listener.listen(BACKLOG)
+        self._accepting = gevent.spawn(self._accept)
+
+    @staticmethod
+    def _reset_on_data(sock: socket.socket) -> None:
+        with contextlib.suppress(OSError):
+            sock.recv(1)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        sock.close()
+
     def close(self) -> None:
         """Stop listening and close all connections."""
         self._accepting.kill()
         self._listener.close()
-        for sock in self._socks:
+        for sock in (*self._socks, *self._lost):
             sock.close()
         self._socks.clear()
--- a/tests/races/test_caller_leaves.py
+++ b/tests/races/test_caller_leaves.py
@@ -120,7 +120,7 @@
         while time.monotonic() - full_since_s < FULL_FOR_S:
             with contextlib.suppress(BlockingIOError):
                 while True:
-                    filled += sock.send(b"\r\n" * 2000, 0, 0.0)
+                    filled += sock.send(b"\r\n" * 2000, 0, 0.0)  # type: ignore[call-arg]
                     full_since_s = time.monotonic()
             gevent.sleep(0.02)
     return filled
