Wait for the other process in the test of a message to the previous one

The clock of the test had passed the 7.25 s before the next process had heard of the message: the processes tell each other every 30 ms of real time, and the test waited for nothing. Its log shows both processes reconnected, then server_lost.

Change: the test waits until the next process has noted the outage, and then until it has learnt of the message, 5 s at most, before it advances the clock. The assertions are as before; a message that is not passed on now fails by the wait.

--- a/tests/races/test_outages.py
+++ b/tests/races/test_outages.py
@@ -221,10 +221,15 @@
     lose_contact(harness)
     upgrade(harness)
     accept_all(harness)
-    await_dials(harness)
-    harness.advance_ms(STEP_MS)
-    await_dials(harness)
+    tracker = harness.softswitch.servers.contact_trackers()[SERVER]
+    with gevent.Timeout(10, TimeoutError("no outage is noted")):
+        while not tracker.contact.outages:
+            await_dials(harness)
+            harness.advance_ms(REDIAL_DELAY_MS)
     speak_on_the_old_connection(harness)
+    with gevent.Timeout(5, TimeoutError("the next process does not learn of the message")):
+        while tracker.contact.outages:  # the processes tell each other in real time, whatever the clock says
+            gevent.sleep(0.01)
     for _ in range(20):
         harness.advance_ms(STEP_MS)
     assert harness.softswitch.exchange.is_established(CALL)
