Keep the last message of a server as two times, and make its record when it is asked for

Each message of a SIP server made a Heard object, which only an upgrade reads. A message is the hottest thing at a server. Liveness keeps the two times and makes the object when the hand-over asks.

record_message: 730 to 778 ns before, 424 to 426 ns after (best of five times 200,000 calls, three times; other processes beside it). Tests of races, exchanges, the lost machine and IAX2's decisions pass.

--- a/pearloom/servers/contact.py
+++ b/pearloom/servers/contact.py
@@ -51,7 +51,9 @@
 class ContactTracker(Protocol):
     """Tracks the contact with one server, in the previous and in the next process of an upgrade."""
 
-    heard: Heard
+    @property
+    def heard(self) -> Heard:
+        """The last message of the server."""
 
     @property
     def contact(self) -> Contact:
--- a/pearloom/sip/liveness.py
+++ b/pearloom/sip/liveness.py
@@ -7,8 +7,6 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
-
 from pearloom.servers.contact import Contact, Heard, Outage
 
 SILENT_MS = 2500.0  # of silence while a message is due, after which a new connection is opened
@@ -34,7 +32,7 @@
         self._due_since_ms = now_ms
         self.failed_dials = 0  # in a row, without a message between them
         self._outages: list[Outage] = []  # which no message has shown to be outlived; the oldest first
-        self.heard = Heard(0.0, 0.0)  # the last message
+        self._heard_at_ms = self._known_since_ms = 0.0  # of the last message, as in `Heard`
 
     @property
     def is_in_doubt(self) -> bool:
@@ -49,13 +47,12 @@
         """A message came on a connection that was opened at `opened_ms`."""
         self._last_sign_ms = max(now_ms, self._last_sign_ms)
         self.failed_dials = 0
-        self.heard = Heard(now_ms, opened_ms)
+        self._heard_at_ms, self._known_since_ms = now_ms, opened_ms
         self.confirm_process(opened_ms)
 
     def confirm_process(self, known_since_ms: float) -> None:
         """The process that had a connection or call since this time still runs."""
-        if known_since_ms < self.heard.known_since_ms:
-            self.heard = replace(self.heard, known_since_ms=known_since_ms)
+        self._known_since_ms = min(self._known_since_ms, known_since_ms)
         if self._outages:
             self._outages = [outage for outage in self._outages if outage.ended_ms <= known_since_ms]
 
@@ -63,6 +60,11 @@
         """The pool list reported a later start: what an earlier outage may have ended is known now."""
         self._outages = [outage for outage in self._outages if outage.last_sign_ms >= started_ms]
 
+    @property
+    def heard(self) -> Heard:
+        """The last message."""
+        return Heard(self._heard_at_ms, self._known_since_ms)
+
     @property
     def contact(self) -> Contact:
         """What the next process of an upgrade has to know at its start."""
