Let the fake SIP server send a release on the next connection, as the protocol has it

test_failures_alike_on_all_softswitches_do_not_halt_a_rollout failed now and then on a busy machine: not quiet within 15 s.

Now the fake sends it on all open connections where that of the set-up is closed, and on each one opened within 10 s while that of the set-up is closed. The program is not changed: it dials again after such a close.

--- a/pearloom/fakes/sip_server.py
+++ b/pearloom/fakes/sip_server.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import struct
+import time
 from dataclasses import dataclass
 from random import Random
 
@@ -19,6 +20,8 @@
 PROTOCOL = "sip"
 BACKLOG = 64  # connections that the system establishes before they are accepted
 FILLERS = 2  # connections that fill a backlog of 0
+REPEAT_DELAY_S = 0.02  # after a connection opened: closes of others that came before it are read by then
+RELEASE_REPEATED_S = 10.0  # how long a release whose connection has closed is sent on each one opened
 # SIP status and X-Why header of each Q.850 cause that a profile may name.
 _STATUS = {42: (503, "acc"), 34: (503, "atb"), 17: (486, "sub"), 27: (480, ""), 38: (504, ""), 41: (500, "")}
 
@@ -33,6 +36,15 @@
     is_established: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class _Release:
+    """A release that was sent, and when (Unix s)."""
+
+    bye: bytes
+    sock: socket.socket  # of its call's set-up
+    sent_s: float
+
+
 class SipServer:
     """Listens, handles set-ups by its profile, releases established calls, and can die."""
 
@@ -42,6 +54,7 @@
         self._answer_count = 0
         self._random = Random(seed)
         self._calls: dict[str, _Call] = {}
+        self._releases: list[_Release] = []  # the oldest first
         self._socks: list[socket.socket] = []
         self._serving: list[gevent.Greenlet[..., None]] = []
         self._lost: list[socket.socket] = []  # from before the machine's loss, and those that fill the queue
@@ -62,6 +75,15 @@
             sock, _ = self._listener.accept()
             self._socks.append(sock)
             self._serving.append(gevent.spawn(self._serve, sock))
+            gevent.spawn_later(REPEAT_DELAY_S, self._repeat_releases, sock)
+
+    def _repeat_releases(self, sock: socket.socket) -> None:
+        """Send the recent releases whose connection has closed: they may be lost with it."""
+        since_s = time.time() - RELEASE_REPEATED_S
+        self._releases = [release for release in self._releases if release.sent_s >= since_s]
+        for release in self._releases:
+            if release.sock not in self._socks:
+                self._write(sock, release.bye)
 
     def _serve(self, sock: socket.socket) -> None:
         decoder: Decoder[sip.Request | sip.Response] = sip.Decoder()
@@ -147,11 +169,11 @@
         del self._calls[call]
         self._journal.add(EntryKind.SERVER_RELEASED, self.server, call)
         bye = sip.encode_request("BYE", "peer", call, 2, {"Reason": "Q.850;cause=16"})
-        # On the connection of the set-up; where that is closed, on any open one.
-        for sock in [candidate for candidate in (call_state.sock, *self._socks) if candidate in self._socks][
-            :1
-        ]:
+        # Where the set-up's connection is closed, on all: any of them may be another softswitch's.
+        is_open = call_state.sock in self._socks
+        for sock in [call_state.sock] if is_open else list(self._socks):
             self._write(sock, bye)
+        self._releases.append(_Release(bye, call_state.sock, time.time()))
 
     def _write(self, sock: socket.socket, data: bytes) -> None:
         with contextlib.suppress(OSError):
@@ -161,12 +183,14 @@
         """End as a crashed process does: all connections close, all calls are lost."""
         self._journal.add(EntryKind.DIED, self.server)
         self._calls.clear()
+        self._releases.clear()
         self.close()
 
     def lose_machine(self) -> None:
         """Vanish: all calls end, open connections stay open and silent, new ones are never established."""
         self._journal.add(EntryKind.DIED, self.server)
         self._calls.clear()
+        self._releases.clear()
         gevent.killall([self._accepting, *self._serving])
         self._lost, self._socks = self._socks, []
         self._listener.listen(0)
