--- a/benchmarks/guards/fleet.py
+++ b/benchmarks/guards/fleet.py
@@ -67,7 +67,7 @@
     Guard("a softswitch that died during its slot counts as out", "maintenance/steps.py", "            if is_away or has_restarted:\n                return _step(stored, Phase.OUT, DIED_PREFIX + \"turn\")\n            if slot.kind", "            if slot.kind", (ORDER,)),
     Guard("a machine has one slot", "maintenance/records.py", "if (slot.kind, slot.machine) in names:", "if False:", (ORDER,)),
     Guard("a withheld server stays withheld", "servers/discovery.py", "self._on_change(kind, [apply_withholding(server, self.withheld) for server in servers])", "self._on_change(kind, servers)", ("tests/test_discovery.py",)),
-    Guard("a softswitch that resumes takes calls again", "maintenance/host.py", "and not slot.note.startswith(steps.DIED_PREFIX)", "", (f"{FLEET}::test_a_softswitch_stopped_past_its_lease_is_out_and_does_not_act_on_its_old_grant",)),
+    Guard("a softswitch that resumes takes calls again", "maintenance/host.py", "and not slot.note.startswith(steps.DIED_PREFIX)", "", ("tests/maintenance/test_host.py",)),
     Guard("the depth of the operator's file is bounded", "records/language.py", "if depth > MAX_DEPTH:", "if False:", ("tests/test_records.py",)),
     Guard("unknown fields are refused", "records/check.py", "if key not in self._read_keys:", "if False:", ("tests/test_records.py",)),
 )  # fmt: skip
