Give no port twice to a softswitch that the tests start

A play of tests/iax2/test_mixed.py failed once of nine: can't listen on 127.0.0.1:17315 or 127.0.0.1:17315, address already in use. The port for callers and that for operators were drawn alike, one in 20,000: the first probe had closed again when the second one bound it. free_port now keeps the ports that it gave. Ruled out: a port of the system's own range (from 32768 on here), or of another process (both addresses in the line are the same).

--- a/pearloom/fakes/testbed.py
+++ b/pearloom/fakes/testbed.py
@@ -43,14 +43,19 @@
 }  # fmt: skip
 START_S = 15.0
 _PORTS = SystemRandom()
+_GIVEN_PORTS: set[int] = set()  # by `free_port` in this process
 
 
 def free_port(kind: int = socket.SOCK_STREAM) -> int:
     """Return a port that is free now, for a process that will listen on it a moment later.
 
-    The port is below 32768: the system gives those from there on to connections opened in between."""
+    The port is below 32768: the system gives those from there on to connections opened in between. No port is
+    given twice."""
     while True:
         port = _PORTS.randrange(12_000, 32_000)
+        if port in _GIVEN_PORTS:
+            continue
+        _GIVEN_PORTS.add(port)
         with socket.socket(socket.AF_INET, kind) as probe, contextlib.suppress(OSError):
             probe.bind(("127.0.0.1", port))
             return port
