Dial for lost releases once a connection is mute, and close it after 0.75 s

A connection on which a set-up was given up without a message since is mute; it was closed 1.0 to 1.1 s later, and only then another was opened, on which the server repeats its releases. One sent before the give-up, or just after it, was late unless a set-up caused a dial.

Once a connection becomes mute and calls stand at its server, another one is opened, as after a close and at the same least interval; the mute one is closed after 0.75 s.

The test fails before in its three cases (no new connection within 1 s of the release, 0, 50 and 700 ms after the connection is mute) and passes now; removing the dial fails it. 307 tests of races, exchanges, connections, hand-over and the program pass.

--- a/pearloom/sip/link.py
+++ b/pearloom/sip/link.py
@@ -21,7 +21,9 @@
     from pearloom.sip.trunk import SipTrunk
 
 PARTIAL_MESSAGE_TIMEOUT_MS = 300.0  # for the rest of a partial message
-MUTE_TIMEOUT_MS = 1000.0  # without a message since an unanswered set-up was given up; then it is closed
+# Without a message since an unanswered set-up was given up; then the connection is closed and another opened.
+# A release that the server sent on it meanwhile is due at its caller within 1 s.
+MUTE_TIMEOUT_MS = 750.0
 
 # What a refusal proves, by its status; any other status from 300 on is an error.
 _STATUS_ENDINGS = {
@@ -94,6 +96,11 @@
         self.last_used_ms = self._trunk.now_ms
         self.connection.send(outbound)
 
+    @property
+    def is_mute(self) -> bool:
+        """Was a set-up given up here, without a message since it was sent?"""
+        return self.mute_since_ms < math.inf
+
     def record_message(self, now_ms: float) -> None:
         """A message came on this connection."""
         self.last_message_ms = self.last_used_ms = now_ms
--- a/pearloom/sip/trunk.py
+++ b/pearloom/sip/trunk.py
@@ -118,8 +118,10 @@
             now = self.now_ms
             outbound.link.send(OutboundMessage(requests.cancel(outbound.set_up)))
             if outbound.link.last_message_ms <= outbound.sent_ms < now - MUTE_FROM_MS:
-                outbound.link.mute_since_ms = min(outbound.link.mute_since_ms, now)
                 self._dial_policy.record_break(now)
+                if not outbound.link.is_mute:
+                    outbound.link.mute_since_ms = now
+                    self._dial_for_releases()
             self._given_up.put(call, (outbound.set_up.request.number, sequence_of(outbound.set_up)), now)
         return outbound.progress
 
@@ -261,11 +263,7 @@
         if self._links:
             for outbound in resent:
                 self._send(outbound)
-            if self._exchange.established_at(self.name) and not self._loss.is_ending:
-                # A release sent on the ended connection may be lost; the server repeats it on the next one.
-                delay_ms = self._dial_policy.delay_after_close_ms(self.now_ms)
-                if delay_ms is not None:
-                    self._directory.exchange.after_ms(delay_ms, self._dial_after_close)
+            self._dial_for_releases()
             return
         self._waiting += [outbound for outbound in resent if outbound not in self._waiting]
         if self._exchange.established_at(self.name) or self._waiting:
@@ -275,6 +273,15 @@
             else:
                 self.dial()
 
+    def _dial_for_releases(self) -> None:
+        """Open another connection after one ended or fell mute.
+
+        Guards against a release that is lost with that connection: the server repeats it on the next one."""
+        if self._exchange.established_at(self.name) and not self._loss.is_ending:
+            delay_ms = self._dial_policy.delay_after_close_ms(self.now_ms)
+            if delay_ms is not None:
+                self._directory.exchange.after_ms(delay_ms, self._dial_after_close)
+
     def _dial_after_close(self) -> None:
         if self._exchange.established_at(self.name):
             self._dial_another()
--- a/tests/races/test_servers.py
+++ b/tests/races/test_servers.py
@@ -7,6 +7,7 @@
 
 import gevent
 import pytest
+from gevent import select
 from gevent import socket as gevent_socket
 
 from pearloom.core import connection as core_connection
@@ -204,3 +205,34 @@
         ):
             harness.settle()
     assert not harness.softswitch.exchange._calls
+
+
+@pytest.mark.parametrize("released_ms", [0.0, 50.0, 700.0])
+def test_a_release_that_is_lost_with_a_mute_connection_comes_within_1_s(
+    harness: Harness, released_ms: float
+) -> None:
+    """Guards against a release that waits until the connection that lost it is closed.
+
+    `released_ms`: from when the connection is mute; the server repeats the release on the next one."""
+    harness.play_steps(("c1", ">", set_up()))
+    harness.await_invite("s1")
+    harness.peers["s1"].sendall(ANSWER)
+    harness.play_steps(("c1", "<", ESTABLISHED), ("c1", ">", set_up(SECOND)))
+    harness.await_invite("s1")
+    harness.advance_ms(150.0)
+    if not released_ms:
+        released_at_ms = harness.clock.now_ms()
+    harness.play_steps(("c1", ">", f"(0c {SECOND} 2d(10))"), ("c1", "<", f"(10 {SECOND})"))
+    if released_ms:
+        harness.advance_ms(0.0)
+        harness.play_steps(("s1", "opens", "first"))
+        harness.advance_ms(released_ms)
+        released_at_ms = harness.clock.now_ms()
+    with gevent.Timeout(5, TimeoutError("no new connection")):
+        while not select.select([harness.listeners["s1"]], [], [], 0.05)[0]:
+            assert harness.clock.now_ms() < released_at_ms + 1_000.0, "no new connection within 1 s"
+            harness.advance_ms(50.0)
+    harness.play_steps(("s1", "opens", "next"))
+    bye = f"BYE sip:x SIP/2.0\r\nCall-ID: {CALL}\r\nCSeq: 9 BYE\r\n".encode() + NO_BODY
+    harness.peers["next"].sendall(bye)
+    harness.play_steps(("c1", "<", f"(0c {CALL} 2d(10))"))
