--- a/review/common2/harness.py
+++ b/review/common2/harness.py
@@ -31,6 +31,7 @@
 SLACK_MS = 50.0  # "every time limit is 50 ms longer"
 RELEASE_MS = 1_000.0  # from a server's release to its caller's
 END_MS = 8_000.0  # from a call's end to the caller's release, where no release could be sent
+FILLERS = 3  # connections that fill a queue of none
 REFUSED_CAUSES = (34, 42, 102)
 SETTINGS: dict[str, object] = {
     "callers": {"marksRetry": False},
@@ -376,6 +377,18 @@
         if connection is not None:
             connection.send(data)
 
+    def lose_calls(self) -> list[str]:
+        """End all calls without a word, as the loss of the machine does; return those that stood."""
+        stood = [
+            call for call, attempts in self.calls.items() if attempts[-1].stands and not attempts[-1].over
+        ]
+        for attempts in self.calls.values():
+            for one in attempts:
+                one.over = True
+        self._unsent_releases.clear()
+        self.record.add(self.name, "lost", detail=f"calls that stood={len(stood)}")
+        return stood
+
     def accept_no_more(self) -> None:
         """Hold as many connections as the server accepts: further ones are refused."""
         assert self._listener is not None
@@ -406,6 +419,7 @@
 
     port: int  # of the proxy towards the server
     is_silent: bool = False  # stays open; no byte passes any more, in either direction
+    is_forgotten: bool = False  # the machine is back without it: the next byte resets it
     delay_s: float = 0.0  # for which what the server sends is late
     due_s: float = 0.0  # when the last of it is passed on: bytes keep their order
     to_softswitch: asyncio.StreamWriter | None = None
@@ -420,6 +434,8 @@
         self._server = server
         self.pipes: list[Pipe] = []
         self._listener: asyncio.Server | None = None
+        self._full: socket.socket | None = None  # listens, with a queue that is full
+        self._fillers: list[socket.socket] = []
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def start(self) -> None:
@@ -439,7 +455,11 @@
         self._tasks.add(back)
         with contextlib.suppress(ConnectionError):
             while data := await reader.read(65536):
-                if not pipe.is_silent:
+                if pipe.is_forgotten:
+                    linger = struct.pack("ii", 1, 0)
+                    writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+                    writer.transport.abort()
+                elif not pipe.is_silent:
                     far_writer.write(data)
         if not pipe.is_silent:
             far_writer.close()
@@ -460,6 +480,30 @@
         if not pipe.is_silent:
             writer.close()
 
+    def lose_machine(self) -> None:
+        """Let the server's machine vanish: connections stay open and silent, new ones never come up."""
+        for pipe in self.pipes:
+            pipe.is_silent = True
+        assert self._listener is not None
+        self._listener.close()
+        self._full = socket.socket()
+        self._full.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._full.bind(self._server.dial_address)
+        self._full.listen(0)
+        for _ in range(FILLERS):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex(self._server.dial_address)
+            self._fillers.append(filler)
+
+    def return_machine(self) -> None:
+        """Let the machine come back: nothing listens there, so that connections are refused."""
+        for pipe in self.pipes:
+            pipe.is_forgotten = True
+        for sock in (self._full, *self._fillers):
+            if sock is not None:
+                sock.close()
+
     @staticmethod
     def _write_late(writer: asyncio.StreamWriter, data: bytes) -> None:
         if not writer.is_closing():
@@ -720,8 +764,14 @@
 
 
 async def _play_within(played: Awaitable[tuple[int, list[str]]], most_s: float) -> tuple[int, list[str]]:
+    task = asyncio.ensure_future(asyncio.wait_for(played, most_s))
+    for number in (signal.SIGTERM, signal.SIGINT):
+        # Guards against a softswitch that goes on after its case was ended from outside.
+        asyncio.get_running_loop().add_signal_handler(number, task.cancel)
     try:
-        return await asyncio.wait_for(played, most_s)
+        return await task
+    except asyncio.CancelledError:
+        raise CaseError("ended from outside") from None
     finally:
         await asyncio.sleep(0.1)  # for the connections that have just been closed
 
