Name loopback addresses alone in the descriptions of the review's stand-ins

Change: 127.4.7.x and 127.9.0.1 in the stand-ins. A description has 69 bytes in place of 68, and case 7 tries the same 38 lengths too short and 60 too long.

--- a/review/7/case.py
+++ b/review/7/case.py
@@ -23,8 +23,8 @@
 )
 
 INTERVAL_S = 0.6  # between calls: a connection that was closed for a spoilt answer is open again by then
-SHORT = range(30, 68)  # lengths given for descriptions of 68 bytes
-LONG = range(69 + 20, 69 + 80)  # the same: a release of another call follows on the connection
+SHORT = range(31, 69)  # lengths given for descriptions of 69 bytes
+LONG = range(69 + 21, 69 + 81)  # the same: a release of another call follows on the connection
 RELEASE_AFTER_S = 0.03
 
 
--- a/review/common2/harness.py
+++ b/review/common2/harness.py
@@ -332,7 +332,9 @@
     def description(self, one: ServerCall) -> bytes:
         """Return the description that this server makes for a call, in the form of the protocol page."""
         port = 20_000 + int(one.call[-4:], 16) % 20_000
-        return f"{one.call}\r\nc=IN IP4 10.4.7.{1 + self.cell}\r\nm=audio {port} RTP/AVP 0 8 101\r\n".encode()
+        return (
+            f"{one.call}\r\nc=IN IP4 127.4.7.{1 + self.cell}\r\nm=audio {port} RTP/AVP 0 8 101\r\n".encode()
+        )
 
     def answer(self, one: ServerCall, length: int | None = None) -> None:
         """Answer a set-up: the call stands."""
@@ -634,7 +636,7 @@
             6: str(patience_ms).encode(),
             15: f"7f3a9c21{number:08x}".encode(),
             18: f"dest:{first_choice};width:1;via:-1".encode(),
-            48: f"{call}\r\nc=IN IP4 10.9.0.1\r\nm=audio 31000 RTP/AVP 0 8 101\r\n".encode(),
+            48: f"{call}\r\nc=IN IP4 127.9.0.1\r\nm=audio 31000 RTP/AVP 0 8 101\r\n".encode(),
         }
         self.record.add("caller", "set-up", call, f"{class_name} dest={first_choice} patience={patience_ms}")
         self._write(encode(SET_UP, call, parameters))
