--- a/benchmarks/guards/calls.py
+++ b/benchmarks/guards/calls.py
@@ -31,6 +31,7 @@
     Guard("a closed connection gets no set-up", "sip/trunk.py", "if link is not None and link.connection.peer_ended:", "if False:", (SERVER,)),
     Guard("a mute connection is replaced for releases", "sip/trunk.py", "                    outbound.link.mute_since_ms = now\n                    self._dial_for_releases()\n", "                    outbound.link.mute_since_ms = now\n", (SERVER,)),
     Guard("an ended connection is not chosen again", "sip/links.py", " and not link.has_ended]", "]", (SERVER,)),
+    Guard("a length is confirmed by what follows", "sip/codec.py", "if boundary is Boundary.CONTRADICTED:", "if False:", ("tests/test_sip_boundary.py",)),
     Guard("idle connections close before their server closes them", "sip/links.py", "if not link.unanswered and now_ms - link.last_used_ms >= self._idle_ms:", "if False:", (SERVER,)),
     Guard("descriptors are reserved for other uses than servers", "sip/trunk.py", "not self._links or self._directory.may_open_another", "True", (SERVER,)),
     Guard("an outage is noted when a connection comes up", "sip/liveness.py", "if self.failed_dials >= OUTAGE_DIALS:", "if False:", (OUTAGE,)),
--- a/pearloom/sip/codec.py
+++ b/pearloom/sip/codec.py
@@ -7,13 +7,13 @@
 from dataclasses import dataclass, field
 
 from pearloom.core.errors import Malformed
+from pearloom.sip.boundary import MAX_FOLLOWING_BYTES, Boundary, boundary_after
 
 MAX_MESSAGE_BYTES = 16 * 1024
 _HEADERS_END = b"\r\n\r\n"
 _COMPACT_FORMS = {"i": "call-id", "l": "content-length", "v": "via"}
 _CALL = re.compile(r"[0-9a-f]{16}")
 _VERSION = "SIP/2.0"
-_START = re.compile(rb"[A-Z]+(/|/2|/2\.|/2\.0)?( |\Z)|\r(\n|\Z)")  # how a message, or a part of one, begins
 
 
 @dataclass(slots=True)
@@ -119,11 +119,16 @@
             if len(self._buffer) < message_end:
                 return messages
             body = bytes(self._buffer[end + len(_HEADERS_END) : message_end])
-            del self._buffer[:message_end]
-            if self._buffer and not _START.match(self._buffer):
-                # Guards against passing on a description that was cut short by a wrong length.
-                messages.append(Malformed(f"{bytes(self._buffer[:20])!r} follows a message", fatal=True))
+            following = bytes(self._buffer[message_end : message_end + MAX_FOLLOWING_BYTES])
+            boundary = boundary_after(body, following)
+            if boundary is Boundary.UNDECIDED:
+                return messages
+            if boundary is Boundary.CONTRADICTED:
+                messages.append(
+                    Malformed(f"Content-Length {length}: {following[:20]!r} follows the body", fatal=True)
+                )
                 return messages
+            del self._buffer[:message_end]
             messages.append(
                 Malformed(error, fatal=False) if error else _parse_message(lines[0], headers, body)
             )
