--- a/benchmarks/guards/calls.py
+++ b/benchmarks/guards/calls.py
@@ -32,6 +32,8 @@
     Guard("a mute connection is replaced for releases", "sip/trunk.py", "                    outbound.link.mute_since_ms = now\n                    self._dial_for_releases()\n", "                    outbound.link.mute_since_ms = now\n", (SERVER,)),
     Guard("an ended connection is not chosen again", "sip/links.py", " and not link.has_ended]", "]", (SERVER,)),
     Guard("a length is confirmed by what follows", "sip/codec.py", "if boundary is Boundary.CONTRADICTED:", "if False:", ("tests/test_sip_boundary.py",)),
+    Guard("a late response ends no other attempt", "sip/invites.py", " or self._ended.has(call, link.number, response.sequence):", ":", ("tests/test_exchanges.py::test_recording",)),
+    Guard("the release of an earlier attempt's call ends no other attempt", "sip/invites.py", "if self._ended.of_call(call) is None:", "if True:", ("tests/test_exchanges.py::test_recording",)),
     Guard("idle connections close before their server closes them", "sip/links.py", "if not link.unanswered and now_ms - link.last_used_ms >= self._idle_ms:", "if False:", (SERVER,)),
     Guard("descriptors are reserved for other uses than servers", "sip/trunk.py", "not self._links or self._directory.may_open_another", "True", (SERVER,)),
     Guard("an outage is noted when a connection comes up", "sip/liveness.py", "if self.failed_dials >= OUTAGE_DIALS:", "if False:", (OUTAGE,)),
--- a/pearloom/core/recent.py
+++ b/pearloom/core/recent.py
@@ -42,6 +42,11 @@
         while next(iter(self._values.values()))[1] < now_ms - self._ttl_ms:
             self._values.popitem(last=False)
 
+    def get(self, key: str) -> T | None:
+        """Return a value, which stays stored; None where there is none."""
+        found = self._values.get(key)
+        return None if found is None else found[0]
+
     def pop(self, key: str) -> T | None:
         """Remove a value and return it; None where there is none."""
         found = self._values.pop(key, None)
--- a/pearloom/sip/codec.py
+++ b/pearloom/sip/codec.py
@@ -39,6 +39,12 @@
         """The method of the request that this answers, from CSeq."""
         return self.headers.get("cseq", "").partition(" ")[2].strip().upper()
 
+    @property
+    def sequence(self) -> int | None:
+        """The number of the request that this answers, from CSeq; None if it can't be read."""
+        number = self.headers.get("cseq", "").partition(" ")[0]
+        return int(number) if re.fullmatch(r"[0-9]{1,10}", number) else None
+
     @property
     def is_answer(self) -> bool:
         """Is this a final answer that establishes a call?"""
--- a/pearloom/sip/link.py
+++ b/pearloom/sip/link.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import logging
 import math
 from collections.abc import Callable
@@ -25,6 +26,8 @@
 # A release that the server sent on it meanwhile is due at its caller within 1 s.
 MUTE_TIMEOUT_MS = 750.0
 
+_numbers = itertools.count()
+
 # What a refusal proves, by its status; any other status from 300 on is an error.
 _STATUS_ENDINGS = {
     408: Ending.TIMED_OUT,
@@ -51,7 +54,7 @@
 class OutboundSetUp(OutboundMessage):
     """An INVITE that is being sent, or waits for its answer."""
 
-    __slots__ = ("_may_send", "_on_written", "link", "sent_ms", "set_up")
+    __slots__ = ("_may_send", "_on_written", "has_late_answer", "link", "sent_ms", "set_up")
 
     def __init__(
         self,
@@ -65,6 +68,7 @@
         self.set_up = set_up
         self.link: Link | None = None
         self.sent_ms = 0.0  # when it was queued at its connection
+        self.has_late_answer = False  # an earlier attempt of the call was answered after it had been given up
         self._may_send = may_send
         self._on_written = on_written
 
@@ -83,6 +87,7 @@
     def __init__(self, trunk: SipTrunk, sock: socket.socket, now_ms: float) -> None:
         """Take an established connection."""
         self._trunk = trunk
+        self.number = next(_numbers)  # unique among all connections of this process
         self._decoder = sip.Decoder()
         self._partial_since_ms = math.inf  # when the message began that is still incomplete
         self.opened_ms = self.last_message_ms = self.last_used_ms = now_ms
--- a/pearloom/sip/trunk.py
+++ b/pearloom/sip/trunk.py
@@ -13,22 +13,21 @@
 from pearloom.core.exchange import CAUSE_NORMAL
 from pearloom.core.logs import log_event
 from pearloom.core.recent import RecentValues
-from pearloom.interface import Ending, PoolState
+from pearloom.interface import PoolState
 from pearloom.servers.directory import Directory
 from pearloom.sip import codec as sip
 from pearloom.sip import requests
 from pearloom.sip.connecting import DialFailure, DialFailureKind, connect
 from pearloom.sip.dialling import DialPolicy
-from pearloom.sip.link import Link, OutboundSetUp, refusal
+from pearloom.sip.invites import InviteTransactions
+from pearloom.sip.link import Link, OutboundSetUp
 from pearloom.sip.links import Links
 from pearloom.sip.liveness import SILENT_MS
-from pearloom.sip.requests import sequence_of
 from pearloom.sip.server_loss import ServerLoss
 
 MUTE_FROM_MS = 100.0  # a set-up given up after this time with no message since makes its connection mute
 REDIAL_DELAY_MS = 250.0  # after a failed dial to a server that has calls
 BYE_RESEND_MS = 5000.0  # a BYE is sent again if its connection ends unanswered within this time
-GIVEN_UP_KEPT_MS = 20_000.0  # for which the final answer to a set-up that was given up may still come
 
 
 class SipTrunk:
@@ -54,8 +53,7 @@
         self.contact_tracker = self._liveness = self._loss.liveness
         self.dialling = False
         self._waiting: list[OutboundMessage] = []
-        self._set_ups: dict[str, OutboundSetUp] = {}
-        self._given_up = RecentValues[tuple[str, int]](GIVEN_UP_KEPT_MS)  # number, CSeq by call
+        self._invites = InviteTransactions(directory, self.name, self.release)
         self._byes = RecentValues[OutboundMessage](BYE_RESEND_MS)
 
     @property
@@ -66,7 +64,7 @@
     @property
     def _expects_message(self) -> bool:
         """Is an answer or a release due from the server?"""
-        return bool(self._set_ups) or self._exchange.established_at(self.name) > 0
+        return bool(self._invites) or self._exchange.established_at(self.name) > 0
 
     @property
     def is_idle(self) -> bool:
@@ -89,7 +87,7 @@
         invite = OutboundSetUp(requests.invite(set_up), set_up, self._wanted, self._exchange.count_forwarded)
         if not self._expects_message:
             self._liveness.expect_message(self.now_ms)
-        self._set_ups[invite.call] = invite
+        self._invites.add(invite)
         self._send(invite)
 
     def _wanted(self, outbound: OutboundSetUp) -> bool:
@@ -98,7 +96,7 @@
         if link is not None and link.connection.peer_ended:
             # Guards against an uncertain attempt: its INVITE would cross a close that is not read yet.
             link.has_ended = outbound.withdrawn = True
-            self._end_attempt(
+            self._invites.end(
                 outbound, AttemptError(Progress.CONNECTING, "closed by server", is_connection_fault=True)
             )
             return False
@@ -106,11 +104,9 @@
 
     def give_up(self, call: str) -> Progress:
         """End an attempt: withdraw its INVITE, or send a CANCEL if any byte of it was sent."""
-        outbound = self._set_ups.pop(call, None)
+        outbound = self._invites.take(call)
         if outbound is None:
             return Progress.NOT_DIALLED
-        if outbound.link is not None:
-            outbound.link.unanswered.pop(call, None)
         if outbound.progress < Progress.PARTLY_SENT:
             outbound.withdrawn = True
         elif outbound.link is not None:
@@ -122,14 +118,14 @@
                 if not outbound.link.is_mute:
                     outbound.link.mute_since_ms = now
                     self._dial_for_releases()
-            self._given_up.put(call, (outbound.set_up.request.number, sequence_of(outbound.set_up)), now)
+        self._invites.record_ended(outbound)
         return outbound.progress
 
     def withdraw_unsent(self) -> None:
         """End attempts of which no byte has been sent."""
-        for outbound in [item for item in self._set_ups.values() if item.progress < Progress.PARTLY_SENT]:
+        for outbound in [item for item in self._invites if item.progress < Progress.PARTLY_SENT]:
             outbound.withdrawn = True
-            self._end_attempt(outbound, AttemptError(Progress.NOT_DIALLED, "server not ready"))
+            self._invites.end(outbound, AttemptError(Progress.NOT_DIALLED, "server not ready"))
 
     def release(self, call: str, number: str, cause: int) -> None:
         """Send a BYE."""
@@ -212,7 +208,7 @@
         for outbound in waiting:
             if isinstance(outbound, OutboundSetUp):
                 if not outbound.withdrawn:
-                    self._end_attempt(outbound, AttemptError(Progress.CONNECTING, failure.reason))
+                    self._invites.end(outbound, AttemptError(Progress.CONNECTING, failure.reason))
             else:
                 self._waiting.append(outbound)
         if is_refused and self._links and not self.is_ready:
@@ -256,7 +252,7 @@
         if link.unanswered:
             self._dial_policy.record_break(self.now_ms)
         for set_up in list(link.unanswered.values()):
-            self._end_attempt(
+            self._invites.end(
                 set_up, AttemptError(set_up.progress, reason, is_connection_fault=not self._loss.is_ending)
             )
         resent = self._byes.unexpired(self.now_ms)
@@ -334,7 +330,10 @@
         elif call is None:
             log_event(logging.WARNING, "server_no_call", server=self.name)
         elif isinstance(message, sip.Response):
-            self._on_response(link, call, message)
+            if message.method == "BYE":
+                self._byes.pop(call)
+            elif message.method == "INVITE" and message.status >= 200:
+                self._invites.handle_response(link, call, message)
         elif message.method == "BYE":
             link.send(OutboundMessage(sip.encode_response(message, 200, "OK")))
             cause = sip.reason_cause(message)
@@ -345,53 +344,6 @@
             )
 
     def _on_released(self, call: str, cause: int) -> None:
-        outbound = self._set_ups.get(call)
-        if outbound is not None:
-            self._end_attempt(outbound, AttemptError(Progress.ANSWERED, "released", Ending.RESET))
-        else:
+        if not self._invites.handle_release(call):
             self._loss.confirm_by_call(call)
             self._exchange.handle_server_release(self.name, call, cause)
-
-    def _on_response(self, link: Link, call: str, response: sip.Response) -> None:
-        if response.method == "BYE":
-            self._byes.pop(call)
-        if response.method != "INVITE" or response.status < 200:
-            return
-        outbound = self._set_ups.get(call)
-        if outbound is not None and outbound.link is not link:
-            # A late answer to an earlier attempt of this call.
-            log_event(logging.INFO, "server_late_answer", server=self.name, call=call, status=response.status)
-            return
-        if outbound is not None:
-            number, sequence = outbound.set_up.request.number, sequence_of(outbound.set_up)
-        elif (given_up := self._given_up.pop(call)) is not None:
-            number, sequence = given_up
-        elif self._exchange.has_call(call) or self._exchange.is_recently_ended(call):
-            number, sequence = "unknown", 1
-        else:
-            self._directory.counters.add("unknown_from_servers")
-            log_event(
-                logging.WARNING, "server_unknown_call", server=self.name, call=call, status=response.status
-            )
-            return
-        link.send(OutboundMessage(requests.ack(call, number, sequence)))
-        if response.status >= 300:
-            if outbound is not None:
-                self._end_attempt(outbound, refusal(response.status, response.headers.get("x-why", "")))
-            return
-        if outbound is not None:
-            del self._set_ups[call]
-            link.unanswered.pop(call, None)
-            outbound.progress = Progress.ANSWERED
-            if self._exchange.handle_answer(call, outbound.set_up.attempt, response.body):
-                return
-        if self._exchange.established_ms(self.name, call) is None:
-            # The answer crossed a CANCEL; without a BYE the call would stay established with no caller.
-            self.release(call, number, CAUSE_NORMAL)
-
-    def _end_attempt(self, outbound: OutboundSetUp, error: AttemptError) -> None:
-        if self._set_ups.get(outbound.call) is outbound:
-            del self._set_ups[outbound.call]
-            if outbound.link is not None:
-                outbound.link.unanswered.pop(outbound.call, None)
-            self._exchange.attempt_ended(outbound.call, outbound.set_up.attempt, error)
