Let a peer at full speed wait its turn, and read nothing from one that does not read

Callers saw: while one client sent small or unsound messages at full speed, a sound client's answers took 236 to 877 ms; beside 300 such clients 6.4 s, beside 500 that read nothing over 8 s, and the process held 91 MB with a limit of 64 MB.

Cause: a reader handled a whole read, some 700 messages, and then called gevent.sleep(0), of which gevent runs up to 50 before it looks at the sockets again. And a queue was bounded by the bytes of its messages, not by the memory of their objects. Ruled out: the log, the decision module, partial messages (600 clients: 36 to 45 MB).

core/turns.py: messages are decoded as they are handled, eight units of work a turn; one connection of those with more goes on in each round of the event loop. Nothing is read from a peer with 64 KiB queued to it; all queues take an eighth of the memory at most (core/queue_budget.py). Found beside it: a client that sends back to back was closed after 2.5 s.

--- a/pearloom/admin/management.py
+++ b/pearloom/admin/management.py
@@ -17,6 +17,7 @@
 from pearloom.core.connection import accept_connections
 from pearloom.core.counters import Counters
 from pearloom.core.logs import log_exception
+from pearloom.core.turns import let_others_run
 
 BACKLOG = 256
 REQUEST_TIMEOUT_S = 1.0  # from the connection to the request's end: silent clients stay for seconds
@@ -134,7 +135,7 @@
         while left > 0 and (data := self.sock.recv(READ_BYTES)):
             left -= len(data)
             # Guards against a client that sends without end and starves all other greenlets.
-            gevent.sleep(0)
+            let_others_run()
 
     def _oversize_status(self) -> HTTPStatus:
         if self._has_headers:
@@ -178,7 +179,7 @@
             self._connections[connection] = None
             gevent.spawn(self._serve, connection)
             # Guards against clients that connect faster than their requests are read.
-            gevent.sleep(0)
+            let_others_run()
 
     def _make_room(self) -> None:
         """Close the oldest connection, an incomplete one first, where the limit is reached.
--- a/pearloom/binary/callers.py
+++ b/pearloom/binary/callers.py
@@ -22,6 +22,7 @@
 from pearloom.core.exchange import Exchange
 from pearloom.core.logs import log_event
 from pearloom.core.set_up_validation import SetUpValidator
+from pearloom.core.turns import TurnQueue, let_others_run
 
 CONNECTIONS_SHARE = (
     0.6  # of the descriptors that callers' connections may hold; the rest is for servers and files
@@ -65,6 +66,7 @@
         self._attribute_bounds = {**_ATTRIBUTE_BOUNDS, "width": (1, config.max_width)}
         room_mb = max(config.memory_mb - BASE_MB, 1.0)
         self.max_connections = int(min(CONNECTIONS_SHARE * config.descriptors, room_mb / 2 / CONNECTION_MB))
+        self.turns = TurnQueue()  # of all callers' connections
         self._connections: dict[CallerConnection, None] = {}
         # Connections that can carry releases, in the order of use: the last one is tried first.
         self._release_targets: OrderedDict[CallerConnection, None] = OrderedDict()
@@ -190,7 +192,7 @@
                 sock.close()
             if number % ACCEPTS_PER_TURN == 0:
                 # Guards against hundreds of new connections that keep the other greenlets from running.
-                gevent.sleep(0)
+                let_others_run()
 
     def _make_room(self) -> bool:
         """Guards against running out of descriptors; returns False if no connection can be closed."""
--- a/pearloom/binary/connection.py
+++ b/pearloom/binary/connection.py
@@ -20,7 +20,7 @@
 if TYPE_CHECKING:
     from pearloom.binary.callers import Callers
 
-READ_BYTES = 8 * 1024  # per read of one connection: some hundred set-ups at most, 20 ms of work
+READ_BYTES = 8 * 1024  # per read of one connection
 MAX_UNANSWERED = 256  # set-ups on one connection
 MESSAGE_TIMEOUT_MS = 2500.0  # for the first message, and the rest of a partial one; some callers take 2 s
 STALLED_MESSAGE_MS = 700.0  # without a byte of a partial message, after which its connection may be evicted
@@ -52,7 +52,15 @@
         self._partial_since_ms = math.inf  # when the message began that is still incomplete
         self.unanswered: set[str] = set()  # calls whose set-ups are to be answered on this connection
         self.unconfirmed: OrderedDict[str, tuple[int, float]] = OrderedDict()  # releases: cause, time sent
-        self.connection = Connection(sock, self._on_data, self._on_peer_eof, self._on_closed, READ_BYTES)
+        self.connection = Connection(
+            sock,
+            self._on_data,
+            self._on_peer_eof,
+            self._on_closed,
+            callers.exchange.queue_budget,
+            callers.turns,
+            READ_BYTES,
+        )
 
     @property
     def is_connected(self) -> bool:
@@ -164,7 +172,14 @@
 
     def _on_data(self, data: bytes) -> None:
         self._last_byte_ms = self._callers.now_ms()
-        for message in self._decoder.feed(data):
+        partial_since_ms, self._partial_since_ms = self._partial_since_ms, math.inf
+        self._decoder.add(data)
+        left_bytes = self._decoder.buffered_bytes
+        for message in self._decoder.messages():
+            size_bytes, left_bytes = left_bytes - self._decoder.buffered_bytes, self._decoder.buffered_bytes
+            if not self.connection.begin_message(size_bytes):
+                return
+            partial_since_ms = math.inf
             self.last_message_ms, self.has_received_message = self._callers.now_ms(), True
             if not isinstance(message, Malformed):
                 self._on_message(message)
@@ -174,10 +189,8 @@
             elif not self._on_malformed(message).has_call(message.call):
                 # Guards against a caller that waits in vain for the answer to a malformed set-up.
                 self._send_release(message.call, Cause.INVALID_SET_UP)
-        if not self._decoder.has_partial_message:
-            self._partial_since_ms = math.inf
-        elif self._partial_since_ms == math.inf:
-            self._partial_since_ms = self._callers.now_ms()
+        if self._decoder.has_partial_message:
+            self._partial_since_ms = min(partial_since_ms, self._callers.now_ms())
 
     def _on_malformed(self, message: Malformed) -> Exchange:
         self._callers.counters.add("malformed_from_callers")
--- a/pearloom/binary/isup.py
+++ b/pearloom/binary/isup.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import struct
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, field
 from enum import IntEnum
 
@@ -98,24 +98,34 @@
         """Are there bytes of a message that is still incomplete?"""
         return bool(self._buffer)
 
+    @property
+    def buffered_bytes(self) -> int:
+        """The number of bytes that no message has been decoded from yet."""
+        return len(self._buffer)
+
     def feed(self, data: bytes) -> list[Message | Malformed]:
         """Add bytes and return the messages that they complete; a fatal `Malformed` is the last item."""
+        self.add(data)
+        return list(self.messages())
+
+    def add(self, data: bytes) -> None:
+        """Add bytes, from which `messages` decodes."""
         self._buffer += data
-        messages: list[Message | Malformed] = []
-        offset = 0
-        while len(self._buffer) - offset >= _LENGTH.size:
-            (length,) = _LENGTH.unpack_from(self._buffer, offset)
+
+    def messages(self) -> Iterator[Message | Malformed]:
+        """Decode one message after the other, as they are asked for; a fatal `Malformed` is the last one."""
+        while len(self._buffer) >= _LENGTH.size:
+            (length,) = _LENGTH.unpack_from(self._buffer)
             if not _MIN_LENGTH <= length <= MAX_MESSAGE_BYTES - _LENGTH.size:
                 # After an impossible length the start of the next message is unknown.
-                messages.append(Malformed(f"message length {length}", fatal=True))
-                break
-            end = offset + _LENGTH.size + length
+                yield Malformed(f"message length {length}", fatal=True)
+                return
+            end = _LENGTH.size + length
             if len(self._buffer) < end:
-                break
-            messages.append(_decode_message(bytes(self._buffer[offset:end])))
-            offset = end
-        del self._buffer[:offset]
-        return messages
+                return
+            frame = bytes(self._buffer[:end])
+            del self._buffer[:end]
+            yield _decode_message(frame)
 
 
 def _decode_message(frame: bytes) -> Message | Malformed:
--- a/pearloom/core/connection.py
+++ b/pearloom/core/connection.py
@@ -14,9 +14,12 @@
 
 from pearloom.core.errors import Progress
 from pearloom.core.logs import log_event, log_exception
+from pearloom.core.queue_budget import QueueBudget, queued_cost
+from pearloom.core.turns import TurnQueue, WorkBudget
 
 READ_BYTES = 64 * 1024  # read by one system call
-MAX_QUEUED_BYTES = 128 * 1024  # 400 connections with a full queue still fit the memory
+MAX_QUEUED_BYTES = 128 * 1024  # of data
+READ_PAUSE_COST = 64 * 1024  # queued, from which nothing more is read from this peer
 BATCH_BYTES = 32 * 1024  # written by one system call
 WRITE_TIMEOUT_S = 2.0  # a peer that accepts nothing for this long is considered gone
 FINAL_READ_S = 0.05  # after a failed write: by then, what the peer sent before its close has arrived
@@ -54,18 +57,26 @@
         on_data: Callable[[bytes], None],
         on_end: Callable[[], None],
         on_close: Callable[[str, list[OutboundMessage]], None],
+        queue_budget: QueueBudget,
+        turns: TurnQueue,
         read_bytes: int = READ_BYTES,
     ) -> None:
         """Take a connected socket.
 
-        `on_end`: the peer sends no more data. `on_close`: the connection is closed, with the reason and the
-        messages that were not written."""
+        `on_data` calls `begin_message` before each message that it handles. `on_end`: the peer sends no more
+        data. `on_close`: the connection is closed, with the reason and the messages that were not written.
+        `queue_budget`: of all connections. `turns`: of those to the same kind of peer."""
         sock.setsockopt(plain_socket.IPPROTO_TCP, plain_socket.TCP_NODELAY, 1)
         self._sock = sock
         self._on_data, self._on_end, self._on_close = on_data, on_end, on_close
         self._read_bytes = read_bytes
         self._queue: deque[OutboundMessage] = deque()
         self._queued_bytes = 0
+        self.queued_cost = 0  # memory that the queue takes, in bytes
+        self._queue_budget = queue_budget
+        self._work, self._turns = WorkBudget(), turns
+        self._may_read = Event()
+        self._may_read.set()
         self._first_sent_bytes = 0  # of the first message in the queue
         self._writer_wake_up = Event()
         self._is_finishing = False
@@ -79,13 +90,42 @@
     def send(self, outbound: OutboundMessage) -> None:
         """Queue a message, or close the connection to a peer that reads too slowly."""
         outbound.progress = Progress.CONNECTING
+        if self.closed:
+            return
         self._queue.append(outbound)
+        cost = queued_cost(outbound.data)
         self._queued_bytes += len(outbound.data)
+        self.queued_cost += cost
+        if self.queued_cost > READ_PAUSE_COST:
+            self._may_read.clear()
+        self._queue_budget.add(self, cost)
         if self._queued_bytes > MAX_QUEUED_BYTES:
             # Guards against a slow reader that fills the memory.
             self.close("reader too slow")
         self._wake_writer()
 
+    def _drop_first(self) -> None:
+        """Remove the first message of the queue."""
+        outbound = self._queue.popleft()
+        cost = queued_cost(outbound.data)
+        self._queued_bytes -= len(outbound.data)
+        self.queued_cost -= cost
+        self._queue_budget.remove(self, cost)
+        if self.queued_cost <= READ_PAUSE_COST:
+            self._may_read.set()
+
+    def begin_message(self, size_bytes: int) -> bool:
+        """Wait until a message of this size may be handled; return False if the connection has ended.
+
+        Guards against a peer that sends without pause: what it sends is handled a turn at a time, and not at
+        all while it does not read what it is sent."""
+        if self._work.is_spent:
+            self._turns.wait()
+            self._may_read.wait()
+            self._work.renew()
+        self._work.spend(size_bytes)
+        return not self.closed
+
     def finish(self) -> None:
         """Close once all queued messages have been written."""
         self._is_finishing = True
@@ -104,8 +144,11 @@
         self.closed = True
         self._sock.close()
         self._writer_wake_up.set()
+        self._may_read.set()
         unsent = [outbound for outbound in self._queue if not outbound.withdrawn]
         self._queue.clear()
+        cost, self.queued_cost = self.queued_cost, 0
+        self._queue_budget.remove(self, cost)
         try:
             self._on_close(reason, unsent)
         except Exception:
@@ -142,6 +185,13 @@
 
     def _read(self) -> None:
         while not self.closed and not self._is_finishing:
+            self._may_read.wait()
+            if self._work.is_spent:
+                if self._poll(select.POLLIN):
+                    self._turns.wait()
+                self._work.renew()
+            if self.closed:
+                return
             data = self._sock.recv(self._read_bytes)
             if self._is_finishing and data:
                 return
@@ -149,9 +199,6 @@
                 self._on_end()
                 return
             self._on_data(data)
-            if len(data) == self._read_bytes:
-                # Guards against a peer that sends without pause and starves all other greenlets.
-                gevent.sleep(0)
 
     def _write(self) -> None:
         while not self.closed:
@@ -171,6 +218,7 @@
         """Close, but only after what the peer sent before its close has been read.
 
         Guards against losing an answer that arrives together with the close, where a write fails first."""
+        self._may_read.set()
         gevent.sleep(FINAL_READ_S)
         self.close(_reason(error))
 
@@ -190,7 +238,7 @@
                 return
             self._mark_sent(batch, self._first_sent_bytes + sent)
         while self._queue and (self._queue[0].withdrawn or self._queue[0].progress is Progress.SENT):
-            self._queued_bytes -= len(self._queue.popleft().data)
+            self._drop_first()
 
     def _next_batch(self) -> list[OutboundMessage]:
         """Return the first wanted messages; a message that is partly sent is continued in any case."""
--- a/pearloom/core/exchange.py
+++ b/pearloom/core/exchange.py
@@ -29,6 +29,7 @@
 from pearloom.core.established import EstablishedCalls
 from pearloom.core.logs import log_event
 from pearloom.core.pending_limit import PendingLimit
+from pearloom.core.queue_budget import QueueBudget
 from pearloom.core.recent import RecentIds
 from pearloom.core.reporting import OutcomeReporter
 from pearloom.core.timers import Timers
@@ -36,8 +37,7 @@
 
 CAUSE_NORMAL = 16  # Q.850 release causes, shared by all telephone protocols
 CAUSE_CUT = 41
-MAX_RECENT_IDS = 20_000  # of finished calls
-RECENT_IDS_TTL_MS = 60_000.0  # ids kept for a whole day would use up the memory
+MAX_RECENT_IDS, RECENT_IDS_TTL_MS = 20_000, 60_000.0  # of finished calls
 FULL_STAY_AWAY_US = 1_000_000  # for callers that are refused for lack of room
 # Added to the module's wait after an attempt with an uncertain effect: a release reaches a distant server
 # later than the next set-up reaches a near one, so the wait has to hold at the servers too.
@@ -62,6 +62,7 @@
         self._established = EstablishedCalls()
         self._recent_ids = RecentIds(MAX_RECENT_IDS, RECENT_IDS_TTL_MS)
         self._pending = PendingLimit(memory_mb)
+        self.queue_budget = QueueBudget(memory_mb)  # of both sides' connections
         self._timers = Timers()
         self.open_elsewhere: set[str] = set()  # ids of calls at the other process of an upgrade
         self._callers: CallerSide
@@ -122,19 +123,18 @@
 
     def is_established(self, call_id: str) -> bool:
         """Report whether this call is established."""
-        call = self._calls.get(call_id)
-        return call is not None and call.is_established
+        return (call := self._calls.get(call_id)) is not None and call.is_established
 
     def callers_of_established(self) -> Iterator[Caller]:
         """Yield the callers of the established calls, at each server the newest call first."""
         return self._established.callers()
 
     def has_call(self, call_id: str) -> bool:
-        """Report whether this call is known here, unanswered or established."""
+        """Report whether this call is unanswered or established here."""
         return call_id in self._calls
 
     def is_recently_ended(self, call_id: str) -> bool:
-        """Report whether this call ended here within the time for which ids are kept."""
+        """Report whether this call ended here a short time ago."""
         return call_id in self._recent_ids
 
     def handle_set_up(self, request: SetUpRequest, caller: Caller) -> None:
--- a/pearloom/fakes/testbed.py
+++ b/pearloom/fakes/testbed.py
@@ -91,10 +91,13 @@
         secret: str = "",
         limits: Mapping[str, float] | None = None,
         numbers: int = 0,
+        memory_mb: float = 192.0,
+        descriptors: int = 1024,
     ) -> None:
         """Start a server for each profile, those for SIP first; `faults` apply to every IAX2 path.
 
-        `numbers`: how many call numbers each of the softswitch's sockets has; 0: all."""
+        `numbers`: how many call numbers each of the softswitch's sockets has; 0: all. `memory_mb` and
+        `descriptors`: the limits that the configuration names."""
         self.random, self.journal, self.seed = Random(seed), Journal(), seed
         self._faults, self._secret, self._limits = faults, secret, dict(limits or {})
         self.sip = [
@@ -115,6 +118,7 @@
         self.management: Address = ("127.0.0.1", free_port())
         self._folder = tempfile.TemporaryDirectory(prefix="pearloom-stage-")
         self._numbers = numbers
+        self._process_limits = {"sockets": descriptors, "memory_mb": memory_mb}
         self.process: subprocess.Popen[bytes] | None = None
         self.callers: list[BinaryCaller | Iax2Caller] = []
         self._calls = 0
@@ -139,7 +143,7 @@
             "seed": f"{self.seed:x}",
             "coordinator": "{}:{}".format(*self.coordinator.address),
             "known": self.coordinator.cached_list(),
-            "limits": {"sockets": 1024, "memory_mb": 192},
+            "limits": self._process_limits,
             "settings": SETTINGS,
         }
         (folder / "config.json").write_text(json.dumps(config))
--- a/pearloom/iax2/udp.py
+++ b/pearloom/iax2/udp.py
@@ -11,6 +11,7 @@
 
 from pearloom.core.config import Address
 from pearloom.core.logs import log_event, log_exception
+from pearloom.core.turns import let_others_run
 
 RECEIVE_BYTES = 4 * 1024 * 1024  # requested receive buffer; the system may grant less
 DATAGRAM_BYTES = 64 * 1024
@@ -96,7 +97,7 @@
                     # Guards against a flood that keeps all other greenlets from running.
                     read_count = 0
                     self._run_guarded(self._on_idle)
-                    gevent.sleep(0)
+                    let_others_run()
         finally:
             readable.close()
 
--- a/pearloom/servers/directory.py
+++ b/pearloom/servers/directory.py
@@ -13,6 +13,7 @@
 from pearloom.core.errors import AttemptError, Progress
 from pearloom.core.exchange import Exchange
 from pearloom.core.logs import log_event, log_exception
+from pearloom.core.turns import TurnQueue
 from pearloom.interface import PoolState
 from pearloom.servers.contact import ContactTracker
 from pearloom.settings import read_report
@@ -102,6 +103,7 @@
         self.counters = counters
         self._factories = factories
         self.protocol_of: Callable[[str], str] = lambda server: SIP  # from a server's id
+        self.turns = TurnQueue()  # of the connections to all servers
         self._trunks: dict[str, Trunk] = {}
 
     def start(self) -> None:
--- a/pearloom/sip/codec.py
+++ b/pearloom/sip/codec.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import re
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, field
 
 from pearloom.core.errors import Malformed
@@ -14,6 +14,7 @@
 _COMPACT_FORMS = {"i": "call-id", "l": "content-length", "v": "via"}
 _CALL = re.compile(r"[0-9a-f]{16}")
 _VERSION = "SIP/2.0"
+_KEEP_ALIVES = re.compile(rb"(?:\r\n)+")  # between messages
 
 
 @dataclass(slots=True)
@@ -99,45 +100,55 @@
         """Are there bytes of a message that is still incomplete?"""
         return bool(self._buffer)
 
+    @property
+    def buffered_bytes(self) -> int:
+        """The number of bytes that no message has been decoded from yet."""
+        return len(self._buffer)
+
     def feed(self, data: bytes) -> list[Request | Response | Malformed]:
         """Add bytes and return the messages that they complete; a fatal `Malformed` is the last item."""
+        self.add(data)
+        return list(self.messages())
+
+    def add(self, data: bytes) -> None:
+        """Add bytes, from which `messages` decodes."""
         self._buffer += data
-        messages: list[Request | Response | Malformed] = []
-        while True:
-            while self._buffer.startswith(b"\r\n"):  # keep-alives between messages
-                del self._buffer[:2]
-            end = self._buffer.find(_HEADERS_END)
-            if end < 0 or end > MAX_MESSAGE_BYTES:
-                if len(self._buffer) > MAX_MESSAGE_BYTES:
-                    messages.append(Malformed("headers over 16 KiB", fatal=True))
-                return messages
-            lines = bytes(self._buffer[:end]).decode("latin-1").split("\r\n")
-            headers, error = _parse_headers(lines[1:])
-            length = headers.get("content-length", "")
-            # Without a plain length the start of the next message is unknown, so nothing more can be read.
-            if (
-                not re.fullmatch(r"[0-9]{1,5}", length)
-                or end + len(_HEADERS_END) + int(length) > MAX_MESSAGE_BYTES
-            ):
-                messages.append(Malformed(f"Content-Length {length[:20]!r}", fatal=True))
-                return messages
-            message_end = end + len(_HEADERS_END) + int(length)
-            if len(self._buffer) < message_end:
-                return messages
-            body = bytes(self._buffer[end + len(_HEADERS_END) : message_end])
-            following = bytes(self._buffer[message_end : message_end + MAX_FOLLOWING_BYTES])
-            boundary = boundary_after(body, following)
-            if boundary is Boundary.UNDECIDED:
-                return messages
-            if boundary is Boundary.CONTRADICTED:
-                messages.append(
-                    Malformed(f"Content-Length {length}: {following[:20]!r} follows the body", fatal=True)
-                )
-                return messages
-            del self._buffer[:message_end]
-            messages.append(
-                Malformed(error, fatal=False) if error else _parse_message(lines[0], headers, body)
-            )
+
+    def messages(self) -> Iterator[Request | Response | Malformed]:
+        """Decode one message after the other, as they are asked for; a fatal `Malformed` is the last one."""
+        while (message := self._next_message()) is not None:
+            yield message
+            if isinstance(message, Malformed) and message.fatal:
+                return
+
+    def _next_message(self) -> Request | Response | Malformed | None:
+        """Decode and remove the first message; None if it is incomplete, or its length not confirmed yet."""
+        keep_alives = _KEEP_ALIVES.match(self._buffer)
+        if keep_alives:
+            del self._buffer[: keep_alives.end()]
+        end = self._buffer.find(_HEADERS_END)
+        if end < 0 or end > MAX_MESSAGE_BYTES:
+            is_too_long = len(self._buffer) > MAX_MESSAGE_BYTES
+            return Malformed("headers over 16 KiB", fatal=True) if is_too_long else None
+        lines = bytes(self._buffer[:end]).decode("latin-1").split("\r\n")
+        headers, error = _parse_headers(lines[1:])
+        length = headers.get("content-length", "")
+        body_start = end + len(_HEADERS_END)
+        # Without a plain length the start of the next message is unknown, so nothing more can be read.
+        if not re.fullmatch(r"[0-9]{1,5}", length) or body_start + int(length) > MAX_MESSAGE_BYTES:
+            return Malformed(f"Content-Length {length[:20]!r}", fatal=True)
+        message_end = body_start + int(length)
+        if len(self._buffer) < message_end:
+            return None
+        body = bytes(self._buffer[body_start:message_end])
+        following = bytes(self._buffer[message_end : message_end + MAX_FOLLOWING_BYTES])
+        boundary = boundary_after(body, following)
+        if boundary is Boundary.UNDECIDED:
+            return None
+        if boundary is Boundary.CONTRADICTED:
+            return Malformed(f"Content-Length {length}: {following[:20]!r} follows the body", fatal=True)
+        del self._buffer[:message_end]
+        return Malformed(error, fatal=False) if error else _parse_message(lines[0], headers, body)
 
 
 def _parse_headers(lines: list[str]) -> tuple[dict[str, str], str]:
--- a/pearloom/sip/link.py
+++ b/pearloom/sip/link.py
@@ -21,6 +21,7 @@
 if TYPE_CHECKING:
     from pearloom.sip.trunk import SipTrunk
 
+READ_BYTES = 16 * 1024  # per read; what is read from one connection counts against the memory
 PARTIAL_MESSAGE_TIMEOUT_MS = 300.0  # for the rest of a partial message
 # Without a message since an unanswered set-up was given up; then the connection is closed and another opened.
 # A release that the server sent on it meanwhile is due at its caller within 1 s.
@@ -94,7 +95,9 @@
         self.has_ended = False  # the server closed it, and the end is not read yet
         self.mute_since_ms = math.inf  # when a set-up was given up after which no message came
         self.unanswered: dict[str, OutboundSetUp] = {}
-        self.connection = Connection(sock, self._on_data, self._on_ended, self._on_closed)
+        self.connection = Connection(
+            sock, self._on_data, self._on_ended, self._on_closed, trunk.queue_budget, trunk.turns, READ_BYTES
+        )
 
     def send(self, outbound: OutboundMessage) -> None:
         """Queue a message."""
@@ -127,7 +130,14 @@
             self._trunk.on_link_mute(self)
 
     def _on_data(self, data: bytes) -> None:
-        for message in self._decoder.feed(data):
+        partial_since_ms, self._partial_since_ms = self._partial_since_ms, math.inf
+        self._decoder.add(data)
+        left_bytes = self._decoder.buffered_bytes
+        for message in self._decoder.messages():
+            size_bytes, left_bytes = left_bytes - self._decoder.buffered_bytes, self._decoder.buffered_bytes
+            if not self.connection.begin_message(size_bytes):
+                return
+            partial_since_ms = math.inf
             if isinstance(message, Malformed):
                 self._on_malformed(message)
                 return
@@ -136,10 +146,8 @@
                 return
             self.mute_since_ms = math.inf
             self._trunk.on_message(self, message)
-        if not self._decoder.has_partial_message:
-            self._partial_since_ms = math.inf
-        elif self._partial_since_ms == math.inf:
-            self._partial_since_ms = self._trunk.now_ms
+        if self._decoder.has_partial_message:
+            self._partial_since_ms = min(partial_since_ms, self._trunk.now_ms)
 
     def _on_malformed(self, message: Malformed) -> None:
         # The rest of the stream can't be decoded, so other set-ups on this connection get no answer either.
--- a/pearloom/sip/trunk.py
+++ b/pearloom/sip/trunk.py
@@ -12,7 +12,9 @@
 from pearloom.core.errors import AttemptError, Malformed, Progress
 from pearloom.core.exchange import CAUSE_NORMAL
 from pearloom.core.logs import log_event
+from pearloom.core.queue_budget import QueueBudget
 from pearloom.core.recent import RecentValues
+from pearloom.core.turns import TurnQueue
 from pearloom.interface import PoolState
 from pearloom.servers.directory import Directory
 from pearloom.sip import codec as sip
@@ -77,6 +79,16 @@
         """The number of connections, open or being opened."""
         return len(self._links) + self.dialling
 
+    @property
+    def queue_budget(self) -> QueueBudget:
+        """The bound of what all connections have queued."""
+        return self._exchange.queue_budget
+
+    @property
+    def turns(self) -> TurnQueue:
+        """The turns of work of all connections to session servers."""
+        return self._directory.turns
+
     @property
     def now_ms(self) -> float:
         """The time of the exchange's clock."""
--- a/tests/races/test_servers.py
+++ b/tests/races/test_servers.py
@@ -13,6 +13,8 @@
 from pearloom.core import connection as core_connection
 from pearloom.core.calls import NullCaller, SetUpRequest
 from pearloom.core.connection import Connection, OutboundMessage
+from pearloom.core.queue_budget import QueueBudget
+from pearloom.core.turns import TurnQueue
 from tests.player import encode
 from tests.races.harness import CALL, SECOND, Harness, connects_blocked, harness, set_up
 
@@ -139,7 +141,14 @@
     near, _ = listener.accept()
     read: list[bytes] = []
     closed: list[str] = []
-    connection = Connection(near, read.append, lambda: None, lambda reason, unsent: closed.append(reason))
+    connection = Connection(
+        near,
+        read.append,
+        lambda: None,
+        lambda reason, _: closed.append(reason),
+        QueueBudget(1.0),
+        TurnQueue(),
+    )
     connection.start()
     gevent.sleep(0)
     far.sendall(b"answer")
@@ -163,7 +172,14 @@
     near, _ = listener.accept()
     far.setsockopt(gevent_socket.SOL_SOCKET, gevent_socket.SO_SNDBUF, 4096)
     closed: list[str] = []
-    connection = Connection(far, lambda data: None, lambda: None, lambda reason, _: closed.append(reason))
+    connection = Connection(
+        far,
+        lambda data: None,
+        lambda: None,
+        lambda reason, _: closed.append(reason),
+        QueueBudget(1.0),
+        TurnQueue(),
+    )
     connection.start()
     for _ in range(15):
         connection.send(OutboundMessage(b"x" * 8000))
--- a/tests/test_connection.py
+++ b/tests/test_connection.py
@@ -3,27 +3,23 @@
 from __future__ import annotations
 
 import gevent
-from gevent import socket
 
 from pearloom.core.connection import MAX_QUEUED_BYTES, Connection, OutboundMessage
 from pearloom.core.errors import Progress
+from pearloom.core.queue_budget import QueueBudget
+from pearloom.core.turns import TurnQueue
+from tests.sockets import small_buffer_pair
 
 
 class ConnectedPair:
     """A connection and the socket of its peer, with small buffers between them."""
 
     def __init__(self) -> None:
-        listener = socket.socket()
-        listener.bind(("127.0.0.1", 0))
-        listener.listen()
-        self.peer = socket.socket()
-        self.peer.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-        self.peer.connect(listener.getsockname())
-        sock, _ = listener.accept()
-        listener.close()
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        sock, self.peer = small_buffer_pair()
         self.closed: list[tuple[str, int]] = []
-        self.connection = Connection(sock, lambda data: None, lambda: None, self.on_close)
+        self.connection = Connection(
+            sock, lambda data: None, lambda: None, self.on_close, QueueBudget(192.0), TurnQueue()
+        )
         self.connection.start()
 
     def on_close(self, reason: str, unsent: list[OutboundMessage]) -> None:
--- a/tests/test_sip_boundary.py
+++ b/tests/test_sip_boundary.py
@@ -43,7 +43,7 @@
 
 def decoded_answers(*reads: bytes) -> list[bytes]:
     """Return the descriptions of call 9b1f… that are passed on before the stream can't be read any more."""
-    decoder, found = sip.Decoder(), []
+    decoder, found = sip.Decoder(), list[bytes]()
     for data in reads:
         for message in decoder.feed(data):
             if isinstance(message, Malformed):
