Limit releases of unknown calls and withdrawn set-ups, keep ids of calls that ran apart

Callers saw: beside one client that sent releases of unknown calls at full speed a set-up took 5.0 s, and the process grew from 29 to 101 MB in 4 s and further. Beside one that withdrew each set-up at once it grew to 54 MB.

Cause: such a release goes to all servers, as it may be of a call from before a restart, with a record of 5 s for each and no limit. A withdrawn set-up freed its place at once. Found beside it: ids of all kinds shared 20,000 places, so new ids could drive out those of calls that had run; refused calls' numbers had no bound. Ruled out: names of classes and tenants, which are refused before anything is stored.

A token bucket for unknown releases, of each connection and of all, in each direction; a withdrawn set-up counts as open for 1 s; ids of calls that were sent to a server have a bound of their own. IAX2's admission uses the same bucket. What is over the limit is counted as unknown_releases_dropped.

--- a/benchmarks/guards/iax2.py
+++ b/benchmarks/guards/iax2.py
@@ -36,7 +36,7 @@
     Guard("half-open legs time out", "iax2/listener.py", "self._admission.overdue(now)", "[]",
           (f"{BAD_CALLERS}::test_half_open_legs_are_dropped_in_time_and_make_room",)),
     Guard("proven sources do not count with unproven ones", "iax2/admission.py", "if proven_ms is not None and", "if False and", (DECISIONS,)),
-    Guard("token replies are limited", "iax2/admission.py", "if self._tokens < 1:", "if False:", (DECISIONS,)),
+    Guard("token replies are limited", "core/token_bucket.py", "if self._tokens < 1:", "if False:", (DECISIONS,)),
     Guard("both call numbers of a frame have to match", "iax2/trunk.py", "leg.transport.destination not in (0, frame.source)", "False",
           (f"{BAD_CALLERS}::test_an_answer_under_another_leg_s_number_is_ignored",)),
     Guard("a leg that is closing answers no call", "iax2/out_leg.py", "None if self.is_closing else TRANSITIONS", "TRANSITIONS", (LEGS,)),
--- a/pearloom/binary/connection.py
+++ b/pearloom/binary/connection.py
@@ -4,7 +4,7 @@
 
 import logging
 import math
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from typing import TYPE_CHECKING
 
 from gevent import socket
@@ -16,12 +16,16 @@
 from pearloom.core.errors import Malformed
 from pearloom.core.exchange import Exchange
 from pearloom.core.logs import log_event
+from pearloom.core.token_bucket import TokenBucket
 
 if TYPE_CHECKING:
     from pearloom.binary.callers import Callers
 
 READ_BYTES = 8 * 1024  # per read of one connection
-MAX_UNANSWERED = 256  # set-ups on one connection
+MAX_UNANSWERED = 256  # set-ups on one connection, those withdrawn a moment ago included
+WITHDRAWN_COUNTS_MS = 1000.0  # for which a withdrawn set-up counts as unanswered
+UNKNOWN_RELEASES_PER_S = 50.0  # of calls that are not known here, on one connection
+UNKNOWN_RELEASES_BURST = 500.0
 MESSAGE_TIMEOUT_MS = 2500.0  # for the first message, and the rest of a partial one; some callers take 2 s
 STALLED_MESSAGE_MS = 700.0  # without a byte of a partial message, after which its connection may be evicted
 NEW_CONNECTION_MS = 300.0  # age up to which a connection without a message is the last to be evicted
@@ -51,6 +55,8 @@
         self._last_byte_ms = math.inf
         self._partial_since_ms = math.inf  # when the message began that is still incomplete
         self.unanswered: set[str] = set()  # calls whose set-ups are to be answered on this connection
+        self._withdrawn_ms: deque[float] = deque()  # when set-ups were withdrawn, the oldest first
+        self._unknown_releases = TokenBucket(UNKNOWN_RELEASES_PER_S, UNKNOWN_RELEASES_BURST, now_ms)
         self.unconfirmed: OrderedDict[str, tuple[int, float]] = OrderedDict()  # releases: cause, time sent
         self.connection = Connection(
             sock,
@@ -217,10 +223,7 @@
             case Type.RELEASE:
                 self._callers.add_release_target(self)
                 cause = message.cause
-                self.unanswered.discard(message.call)
-                self._callers.exchange.handle_caller_release(
-                    message.call, Cause.NORMAL if cause is None else cause
-                )
+                self._on_release(message.call, Cause.NORMAL if cause is None else cause)
                 self._send(OutboundMessage(isup.encode(Message(Type.RELEASE_COMPLETE, message.call))))
             case Type.RELEASE_COMPLETE:
                 self._callers.add_release_target(self)
@@ -238,6 +241,27 @@
                 if not self._callers.exchange.has_call(message.call):
                     self._send_release(message.call, Cause.UNKNOWN_TYPE)
 
+    def _on_release(self, call: str, cause: int) -> None:
+        now = self._callers.now_ms()
+        if call in self.unanswered:
+            self.unanswered.discard(call)
+            self._withdrawn_ms.append(now)
+        if not self._callers.exchange.knows(call) and not self._unknown_releases.take(now):
+            self._callers.counters.add("unknown_releases_dropped")
+            return
+        self._callers.exchange.handle_caller_release(call, cause)
+
+    @property
+    def _has_room(self) -> bool:
+        """May another set-up be handled?
+
+        Guards against one connection that uses up what all callers share, also with set-ups that it withdraws
+        at once: each of them is work at a server."""
+        oldest_ms = self._callers.now_ms() - WITHDRAWN_COUNTS_MS
+        while self._withdrawn_ms and self._withdrawn_ms[0] < oldest_ms:
+            self._withdrawn_ms.popleft()
+        return len(self.unanswered) + len(self._withdrawn_ms) < MAX_UNANSWERED
+
     def _on_set_up(self, message: Message) -> None:
         exchange = self._callers.exchange
         if message.call in exchange.open_elsewhere:
@@ -245,7 +269,7 @@
             self._callers.counters.add("open_elsewhere")
             self.send_refusal(message.call, exchange.stay_away_ms)
             return
-        if exchange.has_call(message.call) or exchange.is_recently_ended(message.call):
+        if exchange.knows(message.call):
             # Guards against an answer or a release that could be taken for that of another set-up.
             self._callers.counters.add("bad_set_ups")
             log_event(logging.WARNING, "caller_duplicate", call=message.call)
@@ -262,9 +286,8 @@
             self._send_release(message.call, Cause.INVALID_SET_UP)
             return
         self._callers.add_release_target(self)
-        if len(self.unanswered) >= MAX_UNANSWERED or self._callers.is_refusing:
-            # Guards against one connection that uses up what all callers share, and against one that always
-            # has an unanswered set-up and so would outlast a drain.
+        if not self._has_room or self._callers.is_refusing:
+            # Guards against a connection that always has an unanswered set-up and so would outlast a drain.
             exchange.refuse_set_up(request, self)
             return
         self.unanswered.add(message.call)
--- a/pearloom/core/exchange.py
+++ b/pearloom/core/exchange.py
@@ -27,17 +27,17 @@
 from pearloom.core.decider import Decider, call_arrived_event
 from pearloom.core.errors import AttemptError, Progress
 from pearloom.core.established import EstablishedCalls
+from pearloom.core.finished_calls import FinishedCalls
 from pearloom.core.logs import log_event
 from pearloom.core.pending_limit import PendingLimit
 from pearloom.core.queue_budget import QueueBudget
-from pearloom.core.recent import RecentIds
 from pearloom.core.reporting import OutcomeReporter
 from pearloom.core.timers import Timers
+from pearloom.core.unknown_releases import UnknownReleases
 from pearloom.interface import Ending
 
 CAUSE_NORMAL = 16  # Q.850 release causes, shared by all telephone protocols
 CAUSE_CUT = 41
-MAX_RECENT_IDS, RECENT_IDS_TTL_MS = 20_000, 60_000.0  # of finished calls
 FULL_STAY_AWAY_US = 1_000_000  # for callers that are refused for lack of room
 # Added to the module's wait after an attempt with an uncertain effect: a release reaches a distant server
 # later than the next set-up reaches a near one, so the wait has to hold at the servers too.
@@ -60,7 +60,10 @@
         self._submit = self.decider.handle_event
         self._calls: dict[str, Call] = {}
         self._established = EstablishedCalls()
-        self._recent_ids = RecentIds(MAX_RECENT_IDS, RECENT_IDS_TTL_MS)
+        self.finished = FinishedCalls(memory_mb)
+        now = clock.now_ms()
+        self._unknown_from_callers = UnknownReleases(self.finished, counters, now)
+        self._unknown_from_servers = UnknownReleases(self.finished, counters, now)
         self._pending = PendingLimit(memory_mb)
         self.queue_budget = QueueBudget(memory_mb)  # of both sides' connections
         self._timers = Timers()
@@ -107,7 +110,7 @@
 
     def inherit(self, call_id: str, server: str, number: str, established_ms: float) -> bool:
         """Add an established call of the previous process; return False if the id is known here."""
-        if call_id in self._calls or call_id in self._recent_ids:
+        if self.knows(call_id):
             return False
         call = Call(SetUpRequest(call_id, -1, "", number, b"", 0.0, -1), NullCaller(),
                     server=server, established_ms=established_ms)  # fmt: skip
@@ -133,9 +136,9 @@
         """Report whether this call is unanswered or established here."""
         return call_id in self._calls
 
-    def is_recently_ended(self, call_id: str) -> bool:
-        """Report whether this call ended here a short time ago."""
-        return call_id in self._recent_ids
+    def knows(self, call_id: str) -> bool:
+        """Report whether this call is known here, or ended within the time for which ids are kept."""
+        return call_id in self._calls or call_id in self.finished
 
     def handle_set_up(self, request: SetUpRequest, caller: Caller) -> None:
         """Accept a new set-up from a caller, or refuse it where there is no room for it."""
@@ -212,10 +215,9 @@
         """End a call whose caller gave up, released it or can't be reached any more."""
         call = self._calls.get(call_id)
         if call is None:
-            if call_id not in self._recent_ids:
+            if self._unknown_from_callers.may_pass_on(call_id, self._clock.now_ms()):
                 # A call established before a restart: only the servers know which of them holds it.
                 self._servers.release(None, call_id, "unknown", cause)
-                self._remember_id(call_id)
         elif call.is_established:
             self._counters.add("released_by_caller")
             self._servers.release(call.server, call_id, call.request.number, cause)
@@ -256,10 +258,9 @@
             self._counters.add("released_by_server")
             self._finish_established(call, Ending.ENDED if cause == CAUSE_NORMAL else Ending.RESET)
             self._callers.release(call_id, cause, call.caller)
-        elif call is None and call_id not in self._recent_ids:
+        elif call is None and self._unknown_from_servers.may_pass_on(call_id, self._clock.now_ms()):
             # Guards against a call lost in a restart of this process: its caller still waits for the release.
             self._counters.add("released_unknown")
-            self._remember_id(call_id)
             self._callers.release(call_id, cause, None)
 
     def relay_caller_media(self, call_id: str, media: Media) -> None:
@@ -393,8 +394,4 @@
     def _forget_if_finished(self, call: Call) -> None:
         if call.answered and not call.is_established and call.current_attempt < 0:
             self._calls.pop(call.request.call, None)
-            self._remember_id(call.request.call)
-
-    def _remember_id(self, call_id: str) -> None:
-        """Keep the id of a finished call, so that a late release of it is not forwarded."""
-        self._recent_ids.add(call_id, self._clock.now_ms())
+            self.finished.add(call.request.call, call.attempts > 0, self._clock.now_ms())
--- a/pearloom/core/recent.py
+++ b/pearloom/core/recent.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
+from itertools import islice
 from typing import Generic, TypeVar
 
 T = TypeVar("T")
@@ -15,6 +16,7 @@
         """Start empty; `ttl_ms`: for how long an id is kept."""
         self._max_ids, self._ttl_ms = max_ids, ttl_ms
         self._added: OrderedDict[str, float] = OrderedDict()
+        self._added_count = 0  # since the start
 
     def __contains__(self, key: str) -> bool:
         """Report whether the id is kept."""
@@ -22,10 +24,19 @@
 
     def add(self, key: str, now_ms: float) -> None:
         """Add an id, and drop those that are too old or too many."""
+        if key not in self._added:
+            self._added_count += 1
         self._added[key] = now_ms
+        self._added.move_to_end(key)
         while len(self._added) > self._max_ids or next(iter(self._added.values())) < now_ms - self._ttl_ms:
             self._added.popitem(last=False)
 
+    def added_since(self, position: int) -> tuple[list[str], int]:
+        """Return the ids added after this position and still kept, and the position now; 0: the start."""
+        new_count = min(self._added_count - position, len(self._added))
+        newest_first = list(islice(reversed(self._added), new_count))
+        return newest_first[::-1], self._added_count
+
 
 class RecentValues(Generic[T]):
     """Values by id, each kept for a limited time from when it was last put."""
--- a/pearloom/iax2/admission.py
+++ b/pearloom/iax2/admission.py
@@ -11,6 +11,8 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from pearloom.core.token_bucket import TokenBucket
+
 
 @dataclass(frozen=True, slots=True)
 class AdmissionLimits:
@@ -45,14 +47,10 @@
         self._by_source: Counter[str] = Counter()
         self._half_open: OrderedDict[int, float] = OrderedDict()  # call number: opening time, ms
         self._proven: OrderedDict[str, float] = OrderedDict()
-        self._tokens = self._max_tokens
-        self._tokens_updated_ms = now_ms
+        burst = max(limits.tokens_per_s * TOKEN_BURST_S, 1.0)
+        self._replies = TokenBucket(limits.tokens_per_s, burst, now_ms)
         self.legs = 0
 
-    @property
-    def _max_tokens(self) -> float:
-        return max(self._limits.tokens_per_s * TOKEN_BURST_S, 1.0)
-
     def may_reply(self, source: str, now_ms: float) -> bool:
         """Return whether a reply may be sent to this source, and count it.
 
@@ -61,13 +59,7 @@
         proven_ms = self._proven.get(source)
         if proven_ms is not None and now_ms - proven_ms <= PROVEN_SOURCE_MS:
             return True
-        refill = (now_ms - self._tokens_updated_ms) * self._limits.tokens_per_s / 1000.0
-        self._tokens = min(self._tokens + refill, self._max_tokens)
-        self._tokens_updated_ms = now_ms
-        if self._tokens < 1:
-            return False
-        self._tokens -= 1
-        return True
+        return self._replies.take(now_ms)
 
     def record_valid_token(self, source: str, now_ms: float) -> None:
         """Record that this source returned a valid token."""
--- a/pearloom/iax2/listener.py
+++ b/pearloom/iax2/listener.py
@@ -251,7 +251,7 @@
         request.patience_ms -= call_tokens.age_ms(leg.token, self._now_ms())
         if request.patience_ms <= 0:
             self.reject_leg(leg, CAUSE_TEMPORARY_FAILURE, "too late", 0.0)
-        elif exchange.has_call(request.call) or exchange.is_recently_ended(request.call):
+        elif exchange.knows(request.call):
             # Guards against an answer or a release that is taken for that of another set-up with this id.
             self._counters.add("bad_set_ups")
             log_event(logging.WARNING, "caller_duplicate", call=request.call)
--- a/pearloom/policy/lifecycle.py
+++ b/pearloom/policy/lifecycle.py
@@ -18,6 +18,7 @@
 CHECK_INTERVAL = 0.25  # of the aim: how often an attempt that waits for an answer is checked
 LOST_DELAYS = 3.0  # times the delay: an overtaken attempt older than this is lost
 MIN_USEFUL_TIME = 1.5  # times the base delay: with less time left, a further attempt is useless
+MAX_UNSERVED = 10_000  # calls whose redials are recognized; callers choose the numbers
 ANSWER_MARGIN = 0.5  # of the answer slack: the final answer is sent so long before the caller's patience ends
 
 
@@ -249,6 +250,8 @@
         call.is_decided = True
         if call.called_number:
             self._unserved[call.called_number, call.call_class] = call.first_tried_at
+            if len(self._unserved) > MAX_UNSERVED:
+                del self._unserved[next(iter(self._unserved))]
         if refuse and not call.must_not_repeat:
             # Guards against redials that find the gates still closed; the answer itself is not held back.
             wait = state.settings.stay_away_us(int(STAY_AWAY * state.aim))
--- a/pearloom/sip/invites.py
+++ b/pearloom/sip/invites.py
@@ -122,7 +122,7 @@
         number, sequence = "unknown", 1
         if (ended := self._ended.of_call(call)) is not None:
             number, sequence = ended.called_number, ended.attempts[-1].sequence
-        elif not self._exchange.has_call(call) and not self._exchange.is_recently_ended(call):
+        elif not self._exchange.knows(call):
             self._directory.counters.add("unknown_from_servers")
             log_event(
                 logging.WARNING, "server_unknown_call", server=self._server, call=call, status=response.status
--- a/tests/hostile/test_full_speed.py
+++ b/tests/hostile/test_full_speed.py
@@ -22,7 +22,7 @@
 
 @pytest.mark.parametrize(
     "kind",
-    ["tests", "unknown_types", "malformed", "unknown_classes"],
+    ["tests", "unknown_types", "malformed", "unknown_classes", "unknown_releases", "withdrawn_set_ups"],
 )
 def test_one_client_at_full_speed_delays_no_other(kind: str) -> None:
     """Guards against a client that keeps the event loop from looking at the sockets of the others."""
