Claim each id at the previous process of an upgrade before its set-up begins

Seen: a client sent a set-up to the previous process, left, and sent the same id to the next one, where it ran too; and the other way round, and after the previous had ended.

Cause: the processes told each other the ids that are open, every 30 ms and in one direction. An id of the last 30 ms, one that was over, or one of the next process was not known to the other. Ruled out: one process alone (9 cases of an id that comes again), and set-ups that are unread when their client closes or resets (4 cases): none showed.

One place decides, the previous process while it is there: the next one claims each id there before its set-up begins (core/set_up_admission.py), and the previous one takes none that it has granted. Ids of calls that were sent to a server are handed over. The hand-over's report of changes and its peer moved to files of their own.

Evidence: 17 of the 34 cases of tests/test_ids_of_set_ups.py, with real processes, fail before, all pass now; so do hand-over, program, recordings, races, pages.

--- a/benchmarks/guards/calls.py
+++ b/benchmarks/guards/calls.py
@@ -21,7 +21,7 @@
 CALLS = (
     Guard("the caller is still connected right before the send", "core/exchange.py", "        if not call.caller.is_connected:\n            self._refuse(call)\n            return False\n", "", (CALLER,)),
     Guard("the time limit has not passed right before the send", "core/exchange.py", "if self._clock.now_ms() >= call.sent_ms + call.timeout_ms:", "if False:", (SERVER,)),
-    Guard("a set-up read after a close is not handled", "core/exchange.py", " or not caller.is_connected:", ":", (CALLER,)),
+    Guard("a set-up read after a close is not handled", "core/set_up_admission.py", " or not caller.is_connected:", ":", (CALLER,)),
     Guard("a half-closed caller with a waiting call is refused", "binary/connection.py", "            self._callers.exchange.handle_caller_eof(call)\n", "            pass\n", (CALLER,)),
     Guard("a write does not block with a batch in hand", "core/connection.py", "sent = self._sock.send(data, 0, 0.0)", "sent = self._sock.send(data)", (CALLER,)),
     Guard("a write that the peer never accepts times out", "core/connection.py", 'with gevent.Timeout(WRITE_TIMEOUT_S, TimeoutError("the peer accepts no data")):', "if True:", (SERVER,)),
@@ -38,6 +38,9 @@
     Guard("all queues together are bounded", "core/queue_budget.py", "while self._cost > self._max_cost and self._owners:", "while False:", ("tests/test_turns.py",)),
     Guard("a message back to back is no late one", "binary/connection.py", "            partial_since_ms = math.inf\n", "", ("tests/test_exchanges.py::test_recording",)),
     Guard("releases of unknown calls are limited", "core/unknown_releases.py", "if not self._bucket.take(now_ms):", "if False:", ("tests/test_finished_calls.py",)),
+    Guard("an id is claimed before its set-up begins", "core/set_up_admission.py", "        if self.send_claim is None:\n", "        if True:\n", ("tests/test_set_up_admission.py", "tests/test_ids_of_set_ups.py")),
+    Guard("the previous process takes no id that it has granted", "core/set_up_admission.py", " or call_id in self._granted", "", ("tests/test_ids_of_set_ups.py",)),
+    Guard("an upgrade hands over the ids of calls that are over", "admin/handover.py", "                self._exchange.finished.add_attempted(message[\"calls\"], self._callers.now_ms())\n", "                pass\n", ("tests/test_ids_of_set_ups.py",)),
     Guard("idle connections close before their server closes them", "sip/links.py", "if not link.unanswered and now_ms - link.last_used_ms >= self._idle_ms:", "if False:", (SERVER,)),
     Guard("descriptors are reserved for other uses than servers", "sip/trunk.py", "not self._links or self._directory.may_open_another", "True", (SERVER,)),
     Guard("an outage is noted when a connection comes up", "sip/liveness.py", "if self.failed_dials >= OUTAGE_DIALS:", "if False:", (OUTAGE,)),
--- a/pearloom/admin/handover.py
+++ b/pearloom/admin/handover.py
@@ -10,7 +10,7 @@
 
 import logging
 import socket as plain_socket
-from collections import deque
+import time
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 from pathlib import Path
@@ -19,20 +19,28 @@
 from gevent import socket
 from gevent.event import Event
 
-from pearloom.admin.handover_channel import READ_BYTES, Channel, Message, encode, with_short_path
+from pearloom.admin.handover_changes import ChangeReport
+from pearloom.admin.handover_channel import (
+    READ_BYTES,
+    Channel,
+    Message,
+    PeerProcess,
+    encode,
+    with_short_path,
+)
 from pearloom.binary.callers import Callers
 from pearloom.core.config import Config, ListUpdate, Server
 from pearloom.core.connection import accept_connections
 from pearloom.core.exchange import Exchange
 from pearloom.core.logs import log_event, log_exception
+from pearloom.core.set_up_admission import CLAIM_TIMEOUT_MS
 from pearloom.interface import PoolEntry, PoolState
-from pearloom.servers.contact import Contact, Heard
+from pearloom.servers.contact import Contact
 from pearloom.servers.coordinator import Coordinator
 from pearloom.servers.directory import Directory
 
 REPLY_TIMEOUT_S = 1.5  # a previous process that takes longer hangs; the next one then listens beside it
 SEND_INTERVAL_S = 0.03  # between two messages that report changes to the peer process
-CALLS_PER_MESSAGE = 500
 
 
 def socket_path(config: Config, folder: str) -> Path:
@@ -50,6 +58,7 @@
     known_digest: str  # of the configuration's known list, which the index counts from
     pool_list: ListUpdate
     contacts: dict[str, Contact]  # by server
+    answers_claims: bool  # does the previous process decide which ids belong to this one?
 
     def update_config(self, config: Config) -> Config:
         """Return the configuration with the inherited pool list.
@@ -83,7 +92,10 @@
         pool_list = ListUpdate(first["index"], True, servers)
         # Absent if the previous process runs an earlier version.
         contacts = {name: Contact.from_json(fields) for name, fields in first.get("contacts", {}).items()}
-        return InheritedState(channel, listener, first["drained"], first["known"], pool_list, contacts)
+        return InheritedState(
+            channel, listener, first["drained"], first["known"], pool_list, contacts,
+            first.get("answers_claims", False),
+        )  # fmt: skip
     except (FileNotFoundError, ConnectionRefusedError):
         pass  # no process serves this address, or the last one has ended: a plain start
     except (OSError, ValueError, KeyError, TypeError) as error:
@@ -94,21 +106,6 @@
     return None
 
 
-class _PeerProcess:
-    """The other process of an upgrade, while both run."""
-
-    def __init__(self, channel: Channel) -> None:
-        self.channel = channel
-        self.outbox: deque[Message] = deque()
-
-    def send_queued(self, *more: Message) -> None:
-        """Send the queued messages, then the given ones."""
-        while self.outbox:
-            self.channel.send(self.outbox.popleft())
-        for message in more:
-            self.channel.send(message)
-
-
 class Handover:
     """Both roles in an upgrade; a process that has taken over hands over at the upgrade after that."""
 
@@ -129,8 +126,8 @@
         self._path: Path | None = None
         self._listener: socket.socket | None = None
         self._accepting: gevent.Greenlet[..., None] | None = None
-        self._previous: _PeerProcess | None = None
-        self._next: _PeerProcess | None = None
+        self._previous: PeerProcess | None = None
+        self._next: PeerProcess | None = None
         self._previous_stopped = Event()  # the previous process has stopped accepting, or has ended
         self._inherited_calls: set[str] = set()
 
@@ -158,15 +155,23 @@
 
     def inherit(self, inherited: InheritedState) -> None:
         """Apply the messages of the previous process from now on, and send it this process's changes."""
-        self._previous = _PeerProcess(inherited.channel)
+        self._previous = PeerProcess(inherited.channel)
         for server, tracker in self._servers.contact_trackers().items():
             if server in inherited.contacts:
                 tracker.inherit(inherited.contacts[server])
         if inherited.is_drained:
             self._callers.drain()
+        if inherited.answers_claims:
+            self._exchange.admission.send_claim = self._claim
         gevent.spawn(self._read_previous, self._previous)
         gevent.spawn(self._send_changes, self._previous, self._ended_inherited_calls)
 
+    def _claim(self, call: str) -> None:
+        """Ask the previous process for an id that has come here."""
+        if self._previous is not None:
+            self._previous.send_soon({"say": "claim", "call": call})
+            self._exchange.after_ms(CLAIM_TIMEOUT_MS, self._exchange.admission.settle_overdue)
+
     def take_over(self) -> None:
         """Report that this process accepts, and wait a bounded time for the previous one to stop."""
         if self._previous is not None:
@@ -205,10 +210,10 @@
         if self._next is not None or listener is None:
             sock.close()
             return
-        self._next = peer = _PeerProcess(Channel(sock))
+        self._next = peer = PeerProcess(Channel(sock))
         try:
             # Of messages, the next process gets those after what `contacts` holds.
-            collect = self._change_collector(self._messages_heard())
+            changes = ChangeReport(self._exchange, self._callers, self._servers)
             servers = [
                 [
                     server.entry.server,
@@ -226,6 +231,7 @@
                 "servers": servers,
                 "zones": {server.entry.server: server.zone for server in self._servers.listed_servers()},
                 "drained": self._callers.drained,
+                "answers_claims": True,
                 "contacts": {
                     name: tracker.contact.as_json()
                     for name, tracker in self._servers.contact_trackers().items()
@@ -237,7 +243,7 @@
             plain_socket.send_fds(sock, [line[:1]], [listener.fileno()])
             sock.sendall(line[1:])
             log_event(logging.INFO, "handover_begun", standing_calls=self._exchange.established_calls)
-            gevent.spawn(self._send_changes, peer, collect)
+            gevent.spawn(self._send_changes, peer, changes.collect)
             while (message := peer.channel.receive()) is not None:
                 self._handle_from_next(peer, message)
         except (OSError, ValueError, KeyError) as error:
@@ -253,7 +259,7 @@
             if self._path is not None:
                 self.listen(self._path)
 
-    def _handle_from_next(self, peer: _PeerProcess, message: Message) -> None:
+    def _handle_from_next(self, peer: PeerProcess, message: Message) -> None:
         match message["say"]:
             case "took":
                 self._callers.stop_accepting()
@@ -263,48 +269,21 @@
             case "over":
                 for call in message["calls"]:
                     self._exchange.end_established(call)
+            case "claim":
+                self._answer_claim(peer, message["call"])
             case _:
                 self._handle_from_either(message)
 
-    def _messages_heard(self) -> dict[str, Heard]:
-        return {name: tracker.heard for name, tracker in self._servers.contact_trackers().items()}
-
-    def _change_collector(self, heard: dict[str, Heard]) -> Callable[[], list[Message]]:
-        """Return a function that returns, at each call, what has changed for the next process.
-
-        `heard`: the servers' last messages that it knows already."""
-        established: set[str] = set()
-        open_ids: set[str] = set()
-        sent_connections = -1
-
-        def collect() -> list[Message]:
-            nonlocal established, open_ids, sent_connections, heard
-            now = {call: rest for call, *rest in self._exchange.list_established()}
-            begun = [[call, *now[call]] for call in now if call not in established]
-            ended = [call for call in established if call not in now]
-            open_now = self._exchange.open_ids()
-            messages: list[Message] = [
-                {"say": "stands", "calls": begun[at : at + CALLS_PER_MESSAGE]}
-                for at in range(0, len(begun), CALLS_PER_MESSAGE)
-            ]
-            if ended:
-                messages.append({"say": "over", "calls": ended})
-            if open_now != open_ids:
-                messages.append({"say": "open", "calls": sorted(open_now)})
-            if sent_connections != (connections := self._callers.connections):
-                messages.append({"say": "held", "connections": connections})
-            heard_now = self._messages_heard()
-            if news := {name: last for name, last in heard_now.items() if heard.get(name) != last}:
-                fields = {name: [last.at_ms, last.known_since_ms] for name, last in news.items()}
-                messages.append({"say": "heard", "servers": fields})
-            established, open_ids, sent_connections, heard = set(now), open_now, connections, heard_now
-            return messages
-
-        return collect
+    def _answer_claim(self, peer: PeerProcess, call: str) -> None:
+        """Leave an id to the next process, unless it is, or was, at this one."""
+        is_granted = not self._exchange.knows(call)
+        if is_granted:
+            self._exchange.admission.grant(call)
+        peer.send_soon({"say": "claimed", "call": call, "granted": is_granted})
 
     # The role of the next process.
 
-    def _read_previous(self, peer: _PeerProcess) -> None:
+    def _read_previous(self, peer: PeerProcess) -> None:
         """Apply the messages of the previous process until its connection ends, then do without it."""
         try:
             while (message := peer.channel.receive()) is not None:
@@ -316,7 +295,7 @@
         self._previous = None
         peer.channel.sock.close()
         self._callers.previous_process_connections = 0
-        self._exchange.open_elsewhere = set()
+        self._exchange.admission.end_claims()
         self._previous_stopped.set()
         log_event(logging.INFO, "elder_gone", inherited=len(self._inherited_calls))
         # Guards against a lost release: a session server that wrote one to a connection which ended with the
@@ -334,7 +313,11 @@
                     self._inherited_calls.discard(call)
                     self._exchange.end_established(call)
             case "open":
-                self._exchange.open_elsewhere = set(message["calls"])
+                self._exchange.admission.open_elsewhere = set(message["calls"])
+            case "claimed":
+                self._exchange.admission.settle_claim(message["call"], message["granted"])
+            case "ended":
+                self._exchange.finished.add_attempted(message["calls"], self._callers.now_ms())
             case "held":
                 self._callers.previous_process_connections = message["connections"]
             case "release":
@@ -363,12 +346,12 @@
             case "activate":
                 self._callers.activate()
 
-    def _send_changes(self, peer: _PeerProcess, collect: Callable[[], list[Message]]) -> None:
+    def _send_changes(self, peer: PeerProcess, collect: Callable[[], list[Message]]) -> None:
         """Send queued messages and changes to the other process for as long as it is connected."""
         try:
             while peer in (self._previous, self._next):
                 peer.send_queued(*collect())
-                gevent.sleep(SEND_INTERVAL_S)
+                peer.send_until(time.monotonic() + SEND_INTERVAL_S)
         except OSError:
             pass  # the greenlet that reads from the connection handles its end
         except Exception:
--- a/pearloom/admin/handover_channel.py
+++ b/pearloom/admin/handover_channel.py
@@ -4,11 +4,14 @@
 
 import json
 import os
+import time
+from collections import deque
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
 from gevent import socket
+from gevent.event import Event
 
 READ_BYTES = 64 * 1024
 MAX_LINE_BYTES = 4 * 1024 * 1024
@@ -53,3 +56,32 @@
 def encode(message: Message) -> bytes:
     """Return the message as one line of JSON."""
     return json.dumps(message, separators=(",", ":")).encode("ascii") + b"\n"
+
+
+class PeerProcess:
+    """The other process of an upgrade, while both run."""
+
+    def __init__(self, channel: Channel) -> None:
+        """Take the connection to it."""
+        self.channel = channel
+        self.outbox: deque[Message] = deque()  # sent with the next report of changes
+        self._has_urgent = Event()
+
+    def send_soon(self, message: Message) -> None:
+        """Queue a message that does not wait for the next report of changes."""
+        self.outbox.append(message)
+        self._has_urgent.set()
+
+    def send_until(self, report_s: float) -> None:
+        """Send urgent messages as they come, until this reading of the monotonic clock."""
+        while (left_s := report_s - time.monotonic()) > 0:
+            if self._has_urgent.wait(left_s):
+                self._has_urgent.clear()
+                self.send_queued()
+
+    def send_queued(self, *more: Message) -> None:
+        """Send the queued messages, then the given ones."""
+        while self.outbox:
+            self.channel.send(self.outbox.popleft())
+        for message in more:
+            self.channel.send(message)
--- a/pearloom/binary/connection.py
+++ b/pearloom/binary/connection.py
@@ -264,8 +264,8 @@
 
     def _on_set_up(self, message: Message) -> None:
         exchange = self._callers.exchange
-        if message.call in exchange.open_elsewhere:
-            # Guards against a second attempt at a set-up that the previous process has not answered yet.
+        if exchange.admission.runs_elsewhere(message.call):
+            # Guards against a second attempt at a set-up that is, or was, at the other process of an upgrade.
             self._callers.counters.add("open_elsewhere")
             self.send_refusal(message.call, exchange.stay_away_ms)
             return
--- a/pearloom/core/exchange.py
+++ b/pearloom/core/exchange.py
@@ -29,9 +29,9 @@
 from pearloom.core.established import EstablishedCalls
 from pearloom.core.finished_calls import FinishedCalls
 from pearloom.core.logs import log_event
-from pearloom.core.pending_limit import PendingLimit
 from pearloom.core.queue_budget import QueueBudget
 from pearloom.core.reporting import OutcomeReporter
+from pearloom.core.set_up_admission import SetUpAdmission
 from pearloom.core.timers import Timers
 from pearloom.core.unknown_releases import UnknownReleases
 from pearloom.interface import Ending
@@ -64,10 +64,11 @@
         now = clock.now_ms()
         self._unknown_from_callers = UnknownReleases(self.finished, counters, now)
         self._unknown_from_servers = UnknownReleases(self.finished, counters, now)
-        self._pending = PendingLimit(memory_mb)
+        self.admission = SetUpAdmission(
+            clock, counters, self.reporter, memory_mb, self.stay_away_ms, self._begin_set_up
+        )
         self.queue_budget = QueueBudget(memory_mb)  # of both sides' connections
         self._timers = Timers()
-        self.open_elsewhere: set[str] = set()  # ids of calls at the other process of an upgrade
         self._callers: CallerSide
         self._servers: ServerSide
 
@@ -78,7 +79,7 @@
     @property
     def open_calls(self) -> int:
         """Number of calls that have not received their final answer."""
-        return self._pending.count
+        return self.admission.count
 
     @property
     def established_calls(self) -> int:
@@ -138,31 +139,26 @@
 
     def knows(self, call_id: str) -> bool:
         """Report whether this call is known here, or ended within the time for which ids are kept."""
-        return call_id in self._calls or call_id in self.finished
+        return call_id in self._calls or call_id in self.finished or call_id in self.admission
 
     def handle_set_up(self, request: SetUpRequest, caller: Caller) -> None:
-        """Accept a new set-up from a caller, or refuse it where there is no room for it."""
+        """Accept a new set-up from a caller, or refuse it where it is not admitted."""
         self._counters.add("set_ups_in")
-        # Guards also against set-ups followed by a close that is not yet read: nothing would ever end them.
-        if not self._pending.has_room(request) or not caller.is_connected:
-            self._refuse_unregistered(request, caller)
-            return
+        self.admission.handle(request, caller)
+
+    def _begin_set_up(self, request: SetUpRequest, caller: Caller) -> None:
         route = self.reporter.route_for(request)
         self._calls[request.call] = Call(request, caller, arrived_ms=self._clock.now_ms(), call_route=route)
-        self._pending.add(request)
         self._submit(call_arrived_event(request, route))
 
     def refuse_set_up(self, request: SetUpRequest, caller: Caller) -> None:
         """Refuse a new set-up for which the callers' side has no room, without the decision module."""
         self._counters.add("set_ups_in")
-        self._refuse_unregistered(request, caller)
-
-    def _refuse_unregistered(self, request: SetUpRequest, caller: Caller) -> None:
-        self.reporter.report_unregistered(request)
-        caller.send_refusal(request.call, self.stay_away_ms)
+        self.admission.refuse(request, caller)
 
     def refuse_unanswered(self) -> None:
         """Refuse every set-up that has no answer yet, because this process is about to exit."""
+        self.admission.refuse_waiting()
         for call in [call for call in self._calls.values() if not call.answered]:
             self._refuse(call)
 
@@ -199,6 +195,7 @@
 
     def abort_set_up(self, call_id: str) -> None:
         """Fail a set-up that its caller made unusable."""
+        self.admission.withdraw(call_id)
         call = self._calls.get(call_id)
         if call is not None and not call.answered:
             self.reporter.report_failed(call)
@@ -214,7 +211,9 @@
     def handle_caller_release(self, call_id: str, cause: int) -> None:
         """End a call whose caller gave up, released it or can't be reached any more."""
         call = self._calls.get(call_id)
-        if call is None:
+        if self.admission.withdraw(call_id):
+            self._counters.add("given_up_by_caller")
+        elif call is None:
             if self._unknown_from_callers.may_pass_on(call_id, self._clock.now_ms()):
                 # A call established before a restart: only the servers know which of them holds it.
                 self._servers.release(None, call_id, "unknown", cause)
@@ -389,7 +388,7 @@
     def _mark_answered(self, call: Call) -> None:
         """Record that the call waits for no answer any more, and free its description."""
         call.answered = True
-        self._pending.remove(call.request)
+        self.admission.finish(call.request)
 
     def _forget_if_finished(self, call: Call) -> None:
         if call.answered and not call.is_established and call.current_attempt < 0:
--- a/pearloom/iax2/listener.py
+++ b/pearloom/iax2/listener.py
@@ -256,7 +256,7 @@
             self._counters.add("bad_set_ups")
             log_event(logging.WARNING, "caller_duplicate", call=request.call)
             self.reject_leg(leg, CAUSE_INVALID, "an id that was used before", 0.0)
-        elif request.call in exchange.open_elsewhere:
+        elif exchange.admission.runs_elsewhere(request.call):
             self._counters.add("open_elsewhere")
             leg.send_refusal(request.call, exchange.stay_away_ms)
         elif self._is_refusing():
