Move calls of a new process at an old address to the server that it is listed as

Callers saw: a server's process ended and another one, with another id, had its address at once. Until the list told, set-ups for the old id reached the new process; when it had told, 1 to 16 of these calls were called over while they stood.

Cause: a call belongs to the id it was set up for, so what ended the old process's calls ended the new one's too. Found by reading: a release that the new process sends on a connection opened for the old id was dropped.

Calls established since the start that the list gives the new server move to it before anything of the old id ends; a release matches a call of any server at the address.

--- a/benchmarks/guards/calls.py
+++ b/benchmarks/guards/calls.py
@@ -41,6 +41,7 @@
     Guard("an id is claimed before its set-up begins", "core/set_up_admission.py", "        if self.send_claim is None:\n", "        if True:\n", ("tests/test_set_up_admission.py", "tests/test_ids_of_set_ups.py")),
     Guard("the previous process takes no id that it has granted", "core/set_up_admission.py", " or call_id in self._granted", "", ("tests/test_ids_of_set_ups.py",)),
     Guard("an upgrade hands over the ids of calls that are over", "admin/handover.py", "                self._exchange.finished.add_attempted(message[\"calls\"], self._callers.now_ms())\n", "                pass\n", ("tests/test_ids_of_set_ups.py",)),
+    Guard("calls of a new process at an old address move to its id", "sip/trunk.py", "if successor is not None and successor.entry.started_us > 0:", "if False:", ("tests/test_replaced_servers.py",)),
     Guard("idle connections close before their server closes them", "sip/links.py", "if not link.unanswered and now_ms - link.last_used_ms >= self._idle_ms:", "if False:", (SERVER,)),
     Guard("descriptors are reserved for other uses than servers", "sip/trunk.py", "not self._links or self._directory.may_open_another", "True", (SERVER,)),
     Guard("an outage is noted when a connection comes up", "sip/liveness.py", "if self.failed_dials >= OUTAGE_DIALS:", "if False:", (OUTAGE,)),
--- a/pearloom/admin/handover_changes.py
+++ b/pearloom/admin/handover_changes.py
@@ -48,7 +48,7 @@
         return messages
 
     def _established_changes(self) -> list[Message]:
-        now = {call: rest for call, *rest in self._exchange.list_established()}
+        now = {call: rest for call, *rest in self._exchange.established.entries()}
         begun = [[call, *now[call]] for call in now if call not in self._established]
         ended = [call for call in self._established if call not in now]
         self._established = set(now)
--- a/pearloom/binary/callers.py
+++ b/pearloom/binary/callers.py
@@ -159,7 +159,7 @@
         If the connections of all established calls are gone, the last that carried a call message stays."""
         if not self.drained or self.yielded or not self.exchange.established_calls:
             return set()  # at an upgrade the next process has the calls
-        brought = set(self.exchange.callers_of_established())
+        brought = set(self.exchange.established.callers())
         kept = {caller for caller in self._connections if caller in brought}
         return kept or set(islice(reversed(self._release_targets), 1))
 
--- a/pearloom/core/calls.py
+++ b/pearloom/core/calls.py
@@ -130,6 +130,9 @@
     def release(self, server: str | None, call: str, number: str, cause: int) -> None:
         """Release an established call; `server` is None where only a session server can know the call."""
 
+    def have_same_address(self, server: str, other: str) -> bool:
+        """Report whether the connections to both servers lead to one process."""
+
     def send_media(self, server: str, call: str, media: Media) -> None:
         """Send media that came from the caller of an established call."""
 
--- a/pearloom/core/established.py
+++ b/pearloom/core/established.py
@@ -26,6 +26,15 @@
         """Remove a call that has ended."""
         self._by_server[call.server].pop(call.request.call, None)
 
+    def move(self, server: str, successor: str, since_ms: float) -> int:
+        """Move the calls established at a server since then to another one; return their number."""
+        moved = [call for call in self.at(server).values() if call.established_ms >= since_ms]
+        for call in moved:
+            self.remove(call)
+            call.server = successor
+            self.add(call)
+        return len(moved)
+
     def at(self, server: str) -> dict[str, Call]:
         """Return the calls at this server, by id."""
         return self._by_server.get(server, {})
--- a/pearloom/core/exchange.py
+++ b/pearloom/core/exchange.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Callable, Iterator, Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import replace
 
 from pearloom import interface as api
@@ -59,7 +59,7 @@
         self.decider = Decider(clock, settings, seed, round_ms, self._execute)
         self._submit = self.decider.handle_event
         self._calls: dict[str, Call] = {}
-        self._established = EstablishedCalls()
+        self.established = EstablishedCalls()
         self.finished = FinishedCalls(memory_mb)
         now = clock.now_ms()
         self._unknown_from_callers = UnknownReleases(self.finished, counters, now)
@@ -84,7 +84,7 @@
     @property
     def established_calls(self) -> int:
         """Number of established calls."""
-        return len(self._established)
+        return len(self.established)
 
     def metrics_text(self) -> str:
         """Return the operators' metrics; a call counts as outstanding until it is released."""
@@ -95,15 +95,11 @@
 
     def established_at(self, server: str) -> int:
         """Return the number of established calls at this server."""
-        return len(self._established.at(server))
+        return len(self.established.at(server))
 
     def established_ms(self, server: str, call_id: str) -> float | None:
         """Return when this call was established at this server (Unix ms), or None if it is not."""
-        return self._established.since_ms(server, call_id)
-
-    def list_established(self) -> Iterator[tuple[str, str, str, float]]:
-        """Yield the id, server, called number and time of answer (Unix ms) of each established call."""
-        return self._established.entries()
+        return self.established.since_ms(server, call_id)
 
     def open_ids(self) -> set[str]:
         """Return the ids of the calls that have not received their final answer."""
@@ -117,7 +113,7 @@
                     server=server, established_ms=established_ms)  # fmt: skip
         call.answered = call.is_established = True
         self._calls[call_id] = call
-        self._established.add(call)
+        self.established.add(call)
         return True
 
     def end_established(self, call_id: str) -> None:
@@ -129,10 +125,6 @@
         """Report whether this call is established."""
         return (call := self._calls.get(call_id)) is not None and call.is_established
 
-    def callers_of_established(self) -> Iterator[Caller]:
-        """Yield the callers of the established calls, at each server the newest call first."""
-        return self._established.callers()
-
     def has_call(self, call_id: str) -> bool:
         """Report whether this call is unanswered or established here."""
         return call_id in self._calls
@@ -233,7 +225,7 @@
         now = self._clock.now_ms()
         call.current_attempt, call.is_established, call.established_ms = -1, True, now
         self._mark_answered(call)
-        self._established.add(call)
+        self.established.add(call)
         self.reporter.report_answered(call)
         # The module comes first: a caller that can't be reached any more ends the call during `send_answer`.
         self._submit(api.CallStands(call_id, attempt, call.server, round((now - call.sent_ms) * 1000)))
@@ -253,7 +245,7 @@
     def handle_server_release(self, server: str, call_id: str, cause: int) -> None:
         """Handle a release that a session server sent, and pass it on to the caller."""
         call = self._calls.get(call_id)
-        if call is not None and call.is_established and call.server == server:
+        if call is not None and call.is_established and self._is_at(call, server):
             self._counters.add("released_by_server")
             self._finish_established(call, Ending.ENDED if cause == CAUSE_NORMAL else Ending.RESET)
             self._callers.release(call_id, cause, call.caller)
@@ -262,6 +254,10 @@
             self._counters.add("released_unknown")
             self._callers.release(call_id, cause, None)
 
+    def _is_at(self, call: Call, server: str) -> bool:
+        """Report whether a message of this server can be about an established call."""
+        return call.server == server or self._servers.have_same_address(call.server, server)
+
     def relay_caller_media(self, call_id: str, media: Media) -> None:
         """Relay media from a caller to the server at which its call is established."""
         call = self._calls.get(call_id)
@@ -283,9 +279,14 @@
         self._counters.add("reports_in")
         self._submit(api.PoolReport(server, Ending.ENDED, 0, report))
 
+    def move_established(self, server: str, successor: str, since_ms: float) -> None:
+        """Give the calls established at a server since then to the server that has its address now."""
+        if calls := self.established.move(server, successor, since_ms):
+            log_event(logging.INFO, "calls_moved", server=server, successor=successor, calls=calls)
+
     def handle_server_loss(self, server: str, before_ms: float, reason: str) -> None:
         """Cut the calls established before `before_ms` (Unix ms) at a dead or silent server."""
-        cut = [call for call in self._established.at(server).values() if call.established_ms < before_ms]
+        cut = [call for call in self.established.at(server).values() if call.established_ms < before_ms]
         if not cut:
             return
         log_event(logging.WARNING, "server_lost", server=server, reason=reason, calls_cut=len(cut))
@@ -378,7 +379,7 @@
 
     def _finish_established(self, call: Call, ending: Ending) -> None:
         """End an established call."""
-        self._established.remove(call)
+        self.established.remove(call)
         call.is_established = False
         self.reporter.report_ended(call, ending)
         self._forget_if_finished(call)
--- a/pearloom/fakes/sip_server.py
+++ b/pearloom/fakes/sip_server.py
@@ -48,8 +48,15 @@
 class SipServer:
     """Listens, handles set-ups by its profile, releases established calls, and can die."""
 
-    def __init__(self, journal: Journal, server: str, profile: ServerProfile, seed: int) -> None:
-        """Listen on a free port of loopback."""
+    def __init__(
+        self,
+        journal: Journal,
+        server: str,
+        profile: ServerProfile,
+        seed: int,
+        address: Address = ("127.0.0.1", 0),
+    ) -> None:
+        """Listen at this address; port 0: a free port."""
         self._journal, self.server, self.profile = journal, server, profile
         self._answer_count = 0
         self._random = Random(seed)
@@ -60,7 +67,7 @@
         self._lost: list[socket.socket] = []  # from before the machine's loss, and those that fill the queue
         self._listener = socket.socket()
         self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self._listener.bind(("127.0.0.1", 0))
+        self._listener.bind(address)
         self._listener.listen(BACKLOG)
         self.address: Address = self._listener.getsockname()
         self._accepting = gevent.spawn(self._accept)
@@ -179,6 +186,14 @@
         with contextlib.suppress(OSError):
             sock.sendall(data)
 
+    def reset_connections(self) -> None:
+        """Reset all connections and live on; established calls stay."""
+        for sock in list(self._socks):
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            sock.close()
+            if sock in self._socks:
+                self._socks.remove(sock)
+
     def die(self) -> None:
         """End as a crashed process does: all connections close, all calls are lost."""
         self._journal.add(EntryKind.DIED, self.server)
--- a/pearloom/servers/directory.py
+++ b/pearloom/servers/directory.py
@@ -128,13 +128,23 @@
         Guards against many connections to servers that leave none for coordinator, operators and callers."""
         return sum(trunk.connections for trunk in self._trunks.values()) < self._most_connections
 
-    def address_taken(self, trunk: Trunk) -> bool:
-        """Is a ready server of another id listed at this trunk's address?"""
-        return any(
-            candidate.is_ready and candidate.server.address == trunk.server.address
+    def successor_of(self, trunk: Trunk) -> Server | None:
+        """Return the ready server of another id at this trunk's address; None: there is none."""
+        at_address = (
+            candidate.server
             for candidate in self._trunks.values()
             if candidate is not trunk
+            and candidate.is_ready
+            and candidate.server.address == trunk.server.address
         )
+        return next(at_address, None)
+
+    def have_same_address(self, server: str, other: str) -> bool:
+        """Are these servers listed at one address, so that the connections of both lead to one process?"""
+        trunk, other_trunk = self._trunks.get(server), self._trunks.get(other)
+        if trunk is None or other_trunk is None:
+            return False
+        return trunk.server.address == other_trunk.server.address
 
     def record_malformed(self, server: str, reason: str, closed: bool) -> None:
         """Count and log bytes of a server that can't be read; `closed`: what they came on has been ended."""
--- a/pearloom/sip/trunk.py
+++ b/pearloom/sip/trunk.py
@@ -275,8 +275,9 @@
             return
         self._waiting += [outbound for outbound in resent if outbound not in self._waiting]
         if self._exchange.established_at(self.name) or self._waiting:
-            if not self.is_ready and self._directory.address_taken(self):
+            if not self.is_ready and self._directory.successor_of(self) is not None:
                 # The process that now has this address is not the one that had the calls.
+                self._hand_over_calls()
                 self._on_lost("replaced")
             else:
                 self.dial()
@@ -300,8 +301,9 @@
         self._loss.end_unconfirmed()
         if not self._expects_message:
             return
+        self._hand_over_calls()
         is_gone = self.server.entry.state is PoolState.GONE
-        if is_gone or (not self.is_ready and self._directory.address_taken(self)):
+        if is_gone or (not self.is_ready and self._directory.successor_of(self) is not None):
             # Guards against mistaking the process that now has this address, and sends messages, for the one
             # that had the calls: only a connection opened before a call can still be the old process's.
             self._exchange.handle_server_loss(
@@ -314,6 +316,16 @@
             self._links.close_spare()
             self.dial()
 
+    def _hand_over_calls(self) -> None:
+        """Give the calls of the process that now has this address to the server that it is listed as.
+
+        Guards against calls that end as those of the process before, which had this server's id: until the
+        list tells, set-ups for that id reach the new process."""
+        successor = None if self.is_ready else self._directory.successor_of(self)
+        if successor is not None and successor.entry.started_us > 0:
+            started_ms = successor.entry.started_us / 1000.0
+            self._exchange.move_established(self.name, successor.entry.server, started_ms)
+
     def on_link_mute(self, link: Link) -> None:
         """Close a connection that left a set-up unanswered, unless it is needed to tell whether calls stand.
 
