--- a/tests/hostile/clients.py
+++ b/tests/hostile/clients.py
@@ -123,12 +123,18 @@
         yield b"SIP/2.0 200 OK\r\nCall-ID: %016x\r\nCSeq: 1 INVITE\r\nContent-Length: 2\r\n\r\nxx" % call
 
 
+def http_short_fields(seed: int) -> Iterator[bytes]:
+    """Yield HTTP requests of a great many short header fields."""
+    request = b"GET /v1/readyz?%d HTTP/1.1\r\n" + b"a:\r\n" * 1_500 + b"\r\n"
+    return (request % call for call in _calls(seed))
+
+
 STREAMS: dict[str, Callable[[int], Iterator[bytes]]] = {
     stream.__name__: stream
     for stream in (
         tests, unknown_types, malformed, unknown_classes, set_ups, large_set_ups, unknown_releases,
         confirmations, withdrawn_set_ups, short_fields, sip_options, sip_unknown_releases, sip_short_fields,
-        sip_unknown_answers,
+        sip_unknown_answers, http_short_fields,
     )
 }  # fmt: skip
 
--- a/tests/hostile/test_full_speed.py
+++ b/tests/hostile/test_full_speed.py
@@ -36,6 +36,12 @@
     assert_sound_client_was_served(shown, memory_mb=64.0)
 
 
+@pytest.mark.parametrize("kind", ["http_short_fields", "http_short_fields:slow"])
+def test_hundreds_of_operators_connections_delay_no_caller(kind: str) -> None:
+    shown = play(kind, seconds=2.0, connections=200, memory_mb=64.0, at="management")
+    assert_sound_client_was_served(shown, memory_mb=64.0)
+
+
 @pytest.mark.parametrize("kind", ["large_set_ups:slow", "large_set_ups:stopped", "short_fields:stopped"])
 def test_hundreds_of_clients_that_stop_half_way_keep_within_the_memory(kind: str) -> None:
     shown = play(kind, seconds=3.0, connections=600, memory_mb=64.0)
