--- a/pearloom/admin/management.py
+++ b/pearloom/admin/management.py
@@ -135,7 +135,7 @@
         while left > 0 and (data := self.sock.recv(READ_BYTES)):
             left -= len(data)
             # Guards against a client that sends without end and starves all other greenlets.
-            let_others_run()
+            gevent.sleep(0)
 
     def _oversize_status(self) -> HTTPStatus:
         if self._has_headers:
--- a/pearloom/policy/lifecycle.py
+++ b/pearloom/policy/lifecycle.py
@@ -237,8 +237,7 @@
 
     def _clear_attempt(self, call: Call) -> None:
         """Clear the current attempt, which has its outcome."""
-        pool = self._state.pools.get(call.server)
-        if pool is not None:
+        if (pool := self._state.pools.get(call.server)) is not None:
             pool.outstanding.pop(call.name, None)
         call.current_attempt = -1
 
