Take a caller's message of more than 64 parameters as malformed

Cause: such a message takes milliseconds to decode, and each connection decodes its first one before a turn of work is counted. The protocol has eight; the decoder now counts all, repeated ones included.

--- a/pearloom/binary/isup.py
+++ b/pearloom/binary/isup.py
@@ -14,6 +14,7 @@
 from pearloom.core.errors import Malformed
 
 MAX_MESSAGE_BYTES = 16 * 1024
+MAX_PARAMETERS = 64  # of a message; the protocol has eight
 _LENGTH = struct.Struct(">H")
 _HEAD = struct.Struct(">HB8s")
 _PARAMETER = struct.Struct(">BH")
@@ -131,8 +132,12 @@
 def _decode_message(frame: bytes) -> Message | Malformed:
     _, message_type, call = _HEAD.unpack_from(frame)
     parameters: dict[int, bytes] = {}
-    offset = _HEAD.size
+    offset, count = _HEAD.size, 0
     while offset < len(frame):
+        count += 1
+        if count > MAX_PARAMETERS:
+            # Guards against messages of thousands of empty parameters, which take milliseconds to decode.
+            return Malformed(f"over {MAX_PARAMETERS} parameters", fatal=False, call=call.hex())
         if len(frame) - offset < _PARAMETER.size:
             return Malformed("a parameter is cut short", fatal=False, call=call.hex())
         code, length = _PARAMETER.unpack_from(frame, offset)
--- a/tests/test_codecs.py
+++ b/tests/test_codecs.py
@@ -113,3 +113,12 @@
     assert clock.now_ms() == 2000.5
     clock.set_ms(1000.0)
     assert clock.now_ms() == 2000.5
+
+
+@pytest.mark.parametrize(("parameters", "is_decoded"), [(isup.MAX_PARAMETERS, True), (5_400, False)])
+def test_a_message_of_very_many_parameters_is_malformed(parameters: int, is_decoded: bool) -> None:
+    """Guards against a crowd of clients whose messages take milliseconds each to decode."""
+    body = b"".join(bytes([99, 0, 0]) for _ in range(parameters))
+    frame = (9 + len(body)).to_bytes(2, "big") + bytes([isup.Type.SET_UP]) + bytes(8) + body
+    (message,) = isup.Decoder().feed(frame)
+    assert isinstance(message, isup.Message) is is_decoded
