Hand over each id that must not run again, also after an older one was added again

Found by reading the change once more. RecentIds.added_since counted an id that is added again as none, yet moved it to the end, so that it took the place of a new one in the hand-over's report; and an inherited call that ended here was kept among the ids of calls that were never sent, which are not handed over. Each addition counts now, and a call with a server has run. The new test fails before; recordings, hand-over, races and guards pass. No process of its own shows it: it takes a second upgrade.

--- a/pearloom/core/exchange.py
+++ b/pearloom/core/exchange.py
@@ -394,4 +394,5 @@
     def _forget_if_finished(self, call: Call) -> None:
         if call.answered and not call.is_established and call.current_attempt < 0:
             self._calls.pop(call.request.call, None)
-            self.finished.add(call.request.call, call.attempts > 0, self._clock.now_ms())
+            # An inherited call has a server and no attempt of this process.
+            self.finished.add(call.request.call, bool(call.server), self._clock.now_ms())
--- a/pearloom/core/recent.py
+++ b/pearloom/core/recent.py
@@ -24,15 +24,16 @@
 
     def add(self, key: str, now_ms: float) -> None:
         """Add an id, and drop those that are too old or too many."""
-        if key not in self._added:
-            self._added_count += 1
+        self._added_count += 1
         self._added[key] = now_ms
         self._added.move_to_end(key)
         while len(self._added) > self._max_ids or next(iter(self._added.values())) < now_ms - self._ttl_ms:
             self._added.popitem(last=False)
 
     def added_since(self, position: int) -> tuple[list[str], int]:
-        """Return the ids added after this position and still kept, and the position now; 0: the start."""
+        """Return the ids added after this position and still kept, and the position now; 0: the start.
+
+        An id that was added again counts each time, so that some older ones may be among them."""
         new_count = min(self._added_count - position, len(self._added))
         newest_first = list(islice(reversed(self._added), new_count))
         return newest_first[::-1], self._added_count
--- a/tests/test_finished_calls.py
+++ b/tests/test_finished_calls.py
@@ -28,3 +28,13 @@
     assert passed == BURST - 1 and counters.get("unknown_releases_dropped") == 10_000 - passed
     later = sum(unknown.may_pass_on(f"{number:016x}", 1000.0) for number in range(20_000, 30_000))
     assert later == pytest.approx(PER_S, abs=1)
+
+
+def test_an_id_that_is_added_again_hides_no_new_one() -> None:
+    """Guards against a hand-over that leaves out an id which must not run again."""
+    finished = FinishedCalls(192.0)
+    finished.add("000000000000000a", was_attempted=True, now_ms=0.0)
+    _, position = finished.attempted_since(0)
+    finished.add("000000000000000b", was_attempted=True, now_ms=1.0)
+    finished.add_attempted(["000000000000000a"], now_ms=2.0)
+    assert "000000000000000b" in finished.attempted_since(position)[0]
