Read the messages of callers' and servers' connections with one loop

The loop that takes messages from a decoder a turn at a time, and notes since when one is incomplete, stood in both CallerConnection and Link. It is core/message_reader.py now, and both call it.

--- a/benchmarks/guards/calls.py
+++ b/benchmarks/guards/calls.py
@@ -36,7 +36,7 @@
     Guard("the release of an earlier attempt's call ends no other attempt", "sip/invites.py", "if self._ended.of_call(call) is None:", "if True:", ("tests/test_exchanges.py::test_recording",)),
     Guard("nothing is read from a peer that does not read", "core/connection.py", "            self._may_read.clear()\n", "            pass\n", ("tests/test_turns.py",)),
     Guard("all queues together are bounded", "core/queue_budget.py", "while self._cost > self._max_cost and self._owners:", "while False:", ("tests/test_turns.py",)),
-    Guard("a message back to back is no late one", "binary/connection.py", "            partial_since_ms = math.inf\n", "", ("tests/test_exchanges.py::test_recording",)),
+    Guard("a message back to back is no late one", "core/message_reader.py", "            partial_since_ms = math.inf\n", "", ("tests/test_exchanges.py::test_recording",)),
     Guard("releases of unknown calls are limited", "core/unknown_releases.py", "if not self._bucket.take(now_ms):", "if False:", ("tests/test_finished_calls.py",)),
     Guard("an id is claimed before its set-up begins", "core/set_up_admission.py", "        if self.send_claim is None:\n", "        if True:\n", ("tests/test_set_up_admission.py", "tests/test_ids_of_set_ups.py")),
     Guard("the previous process takes no id that it has granted", "core/set_up_admission.py", " or call_id in self._granted", "", ("tests/test_ids_of_set_ups.py",)),
--- a/pearloom/binary/connection.py
+++ b/pearloom/binary/connection.py
@@ -16,6 +16,7 @@
 from pearloom.core.errors import Malformed
 from pearloom.core.exchange import Exchange
 from pearloom.core.logs import log_event
+from pearloom.core.message_reader import MessageReader
 from pearloom.core.token_bucket import TokenBucket
 
 if TYPE_CHECKING:
@@ -47,13 +48,12 @@
     def __init__(self, callers: Callers, sock: socket.socket, now_ms: float) -> None:
         """Take an accepted connection."""
         self._callers = callers
-        self._decoder = isup.Decoder()
+        self._reader = MessageReader(isup.Decoder(), callers.now_ms)
         self._has_peer_eof = False
         self._opened_ms = now_ms
         self.last_message_ms = now_ms  # the connection's start until the first whole message
         self.has_received_message = False
         self._last_byte_ms = math.inf
-        self._partial_since_ms = math.inf  # when the message began that is still incomplete
         self.unanswered: set[str] = set()  # calls whose set-ups are to be answered on this connection
         self._withdrawn_ms: deque[float] = deque()  # when set-ups were withdrawn, the oldest first
         self._unknown_releases = TokenBucket(UNKNOWN_RELEASES_PER_S, UNKNOWN_RELEASES_BURST, now_ms)
@@ -106,7 +106,7 @@
     @property
     def is_busy(self) -> bool:
         """Is a set-up unanswered or partly read, or are there bytes left to read or write?"""
-        return bool(self.unanswered) or self._decoder.has_partial_message or self.connection.is_busy
+        return bool(self.unanswered) or self._reader.has_partial_message or self.connection.is_busy
 
     def close_reason(self, now_ms: float) -> str:
         """Why this connection is to be closed, or an empty string.
@@ -116,9 +116,9 @@
         if self.unanswered or self._has_peer_eof:
             return ""
         if (
-            now_ms - (self._partial_since_ms if self.has_received_message else self._opened_ms)
+            now_ms - (self._reader.partial_since_ms if self.has_received_message else self._opened_ms)
             > MESSAGE_TIMEOUT_MS
-            and self._decoder.has_partial_message
+            and self._reader.has_partial_message
         ):
             return "no whole message"
         silent_ms = now_ms - self.last_message_ms
@@ -135,7 +135,7 @@
         keeps its connection while there is any that sent a test, says nothing, or carries no set-up."""
         if self.unanswered or self._has_peer_eof:
             return None
-        if self._decoder.has_partial_message:
+        if self._reader.has_partial_message:
             return (3, self._last_byte_ms) if now_ms - self._last_byte_ms > STALLED_MESSAGE_MS else None
         if self._callers.is_release_target(self):
             return 2, self.last_message_ms
@@ -152,7 +152,7 @@
         is_late = emptying_ms > EMPTYING_PARTIAL_MS
         if (
             self.unanswered
-            or (not is_late and (is_new or self._decoder.has_partial_message))
+            or (not is_late and (is_new or self._reader.has_partial_message))
             or self.connection.is_busy
         ):
             return
@@ -178,14 +178,7 @@
 
     def _on_data(self, data: bytes) -> None:
         self._last_byte_ms = self._callers.now_ms()
-        partial_since_ms, self._partial_since_ms = self._partial_since_ms, math.inf
-        self._decoder.add(data)
-        left_bytes = self._decoder.buffered_bytes
-        for message in self._decoder.messages():
-            size_bytes, left_bytes = left_bytes - self._decoder.buffered_bytes, self._decoder.buffered_bytes
-            if not self.connection.begin_message(size_bytes):
-                return
-            partial_since_ms = math.inf
+        for message in self._reader.messages(data, self.connection):
             self.last_message_ms, self.has_received_message = self._callers.now_ms(), True
             if not isinstance(message, Malformed):
                 self._on_message(message)
@@ -195,8 +188,6 @@
             elif not self._on_malformed(message).has_call(message.call):
                 # Guards against a caller that waits in vain for the answer to a malformed set-up.
                 self._send_release(message.call, Cause.INVALID_SET_UP)
-        if self._decoder.has_partial_message:
-            self._partial_since_ms = min(partial_since_ms, self._callers.now_ms())
 
     def _on_malformed(self, message: Malformed) -> Exchange:
         self._callers.counters.add("malformed_from_callers")
--- a/pearloom/sip/link.py
+++ b/pearloom/sip/link.py
@@ -15,6 +15,7 @@
 from pearloom.core.connection import Connection, OutboundMessage
 from pearloom.core.errors import AttemptError, Malformed, Progress
 from pearloom.core.logs import log_event
+from pearloom.core.message_reader import MessageReader
 from pearloom.interface import Ending
 from pearloom.sip import codec as sip
 
@@ -89,8 +90,7 @@
         """Take an established connection."""
         self._trunk = trunk
         self.number = next(_numbers)  # unique among all connections of this process
-        self._decoder = sip.Decoder()
-        self._partial_since_ms = math.inf  # when the message began that is still incomplete
+        self._reader = MessageReader(sip.Decoder(), lambda: trunk.now_ms)
         self.opened_ms = self.last_message_ms = self.last_used_ms = now_ms
         self.has_ended = False  # the server closed it, and the end is not read yet
         self.mute_since_ms = math.inf  # when a set-up was given up after which no message came
@@ -124,20 +124,13 @@
 
     def watch(self, now_ms: float) -> None:
         """Close this connection if a message stays incomplete; report if it is mute; called periodically."""
-        if now_ms - self._partial_since_ms > PARTIAL_MESSAGE_TIMEOUT_MS:
+        if now_ms - self._reader.partial_since_ms > PARTIAL_MESSAGE_TIMEOUT_MS:
             self._on_malformed(Malformed("cut short", fatal=True))
         elif now_ms - self.mute_since_ms > MUTE_TIMEOUT_MS and not self.unanswered:
             self._trunk.on_link_mute(self)
 
     def _on_data(self, data: bytes) -> None:
-        partial_since_ms, self._partial_since_ms = self._partial_since_ms, math.inf
-        self._decoder.add(data)
-        left_bytes = self._decoder.buffered_bytes
-        for message in self._decoder.messages():
-            size_bytes, left_bytes = left_bytes - self._decoder.buffered_bytes, self._decoder.buffered_bytes
-            if not self.connection.begin_message(size_bytes):
-                return
-            partial_since_ms = math.inf
+        for message in self._reader.messages(data, self.connection):
             if isinstance(message, Malformed):
                 self._on_malformed(message)
                 return
@@ -146,8 +139,6 @@
                 return
             self.mute_since_ms = math.inf
             self._trunk.on_message(self, message)
-        if self._decoder.has_partial_message:
-            self._partial_since_ms = min(partial_since_ms, self._trunk.now_ms)
 
     def _on_malformed(self, message: Malformed) -> None:
         # The rest of the stream can't be decoded, so other set-ups on this connection get no answer either.
