--- a/pearloom/fakes/sip_server.py
+++ b/pearloom/fakes/sip_server.py
@@ -217,12 +217,20 @@
 
     def return_cold(self) -> None:
         """Come back without calls and connections: one from before is reset by its first byte."""
+        self._forget_connections()
+        self._listener.listen(BACKLOG)
+        self._accepting = gevent.spawn(self._accept)
+
+    def return_without_process(self) -> None:
+        """Let the machine come back with nothing that listens there: new connections are refused."""
+        self._forget_connections()
+        self._listener.close()
+
+    def _forget_connections(self) -> None:
         for sock in self._lost[:-FILLERS]:
             gevent.spawn(self._reset_on_data, sock)
         for filler in self._lost[-FILLERS:]:
             filler.close()
-        self._listener.listen(BACKLOG)
-        self._accepting = gevent.spawn(self._accept)
 
     @staticmethod
     def _reset_on_data(sock: socket.socket) -> None:
--- a/pearloom/servers/contact.py
+++ b/pearloom/servers/contact.py
@@ -19,24 +19,24 @@
     """Since when a server is silent, and the outages that its process may not have outlived."""
 
     silent_since_ms: float  # Unix ms
-    failed_dials: int  # in a row
+    unanswered_dials: int  # in a row
     outages: tuple[Outage, ...]
 
     def as_json(self) -> list[object]:
         """Return the contact as `from_json` reads it."""
         outages = [[outage.last_sign_ms, outage.ended_ms] for outage in self.outages]
-        return [self.silent_since_ms, self.failed_dials, outages]
+        return [self.silent_since_ms, self.unanswered_dials, outages]
 
     @staticmethod
     def from_json(fields: list[object]) -> Contact:
         """Read a contact; raises ValueError or TypeError if it is malformed."""
-        silent_since_ms, failed_dials, outages = fields
-        if not (
-            isinstance(silent_since_ms, float) and isinstance(failed_dials, int) and isinstance(outages, list)
-        ):
+        silent_since_ms, unanswered_dials, outages = fields
+        if not isinstance(silent_since_ms, float) or not isinstance(unanswered_dials, int):
+            raise TypeError("malformed contact")
+        if not isinstance(outages, list):
             raise TypeError("malformed contact")
         return Contact(
-            silent_since_ms, failed_dials, tuple(Outage(float(last), float(end)) for last, end in outages)
+            silent_since_ms, unanswered_dials, tuple(Outage(float(last), float(end)) for last, end in outages)
         )
 
 
--- a/pearloom/sip/liveness.py
+++ b/pearloom/sip/liveness.py
@@ -7,10 +7,12 @@
 
 from __future__ import annotations
 
+import math
+
 from pearloom.servers.contact import Contact, Heard, Outage
 
 SILENT_MS = 2500.0  # of silence while a message is due, after which a new connection is opened
-# Failed dials in a row, without a message between them, that mean no contact; one may be a lost packet.
+# Unanswered dials in a row, without a message between them, that mean no contact; one may be a lost packet.
 OUTAGE_DIALS = 2
 # Of silence. The calls of a dead machine have to be released within 8 s, but a machine that is only cut off
 # keeps its calls: this is as late as the 8 s allow, with 0.75 s for a dial.
@@ -30,23 +32,20 @@
         """Start as if a message had just come, with none due."""
         self._last_sign_ms = now_ms
         self._due_since_ms = now_ms
-        self.failed_dials = 0  # in a row, without a message between them
+        self.unanswered_dials = 0  # in a row, without a message or a refusal between them
+        self._refused_ms = -math.inf  # when a connection was refused last
         self._outages: list[Outage] = []  # which no message has shown to be outlived; the oldest first
         self._heard_at_ms = self._known_since_ms = 0.0  # of the last message, as in `Heard`
 
     @property
     def is_in_doubt(self) -> bool:
         """Is it unknown whether the process that has the calls still runs?"""
-        return self.failed_dials >= OUTAGE_DIALS or bool(self._outages)
-
-    def record_sign_of_life(self, now_ms: float) -> None:
-        """The server's machine showed that it is running."""
-        self._last_sign_ms = now_ms
+        return self.unanswered_dials >= OUTAGE_DIALS or bool(self._outages)
 
     def record_message(self, now_ms: float, opened_ms: float) -> None:
         """A message came on a connection that was opened at `opened_ms`."""
         self._last_sign_ms = max(now_ms, self._last_sign_ms)
-        self.failed_dials = 0
+        self.unanswered_dials = 0
         self._heard_at_ms, self._known_since_ms = now_ms, opened_ms
         self.confirm_process(opened_ms)
 
@@ -69,38 +68,50 @@
     def contact(self) -> Contact:
         """What the next process of an upgrade has to know at its start."""
         silent_since_ms = max(self._last_sign_ms, self._due_since_ms)
-        return Contact(silent_since_ms, self.failed_dials, tuple(self._outages))
+        return Contact(silent_since_ms, self.unanswered_dials, tuple(self._outages))
 
     def inherit(self, contact: Contact) -> None:
         """Go on from what the previous process of an upgrade knows.
 
         Guards against a silence or an outage that is counted anew from the upgrade on."""
         self._last_sign_ms = self._due_since_ms = contact.silent_since_ms
-        self.failed_dials = contact.failed_dials
+        self.unanswered_dials = contact.unanswered_dials
         self._outages = list(contact.outages)
 
     def expect_message(self, now_ms: float) -> None:
         """From this time on a message is due; none was before."""
         self._due_since_ms = now_ms
 
-    def record_failed_dial(self) -> None:
-        """A connection could not be opened."""
-        self.failed_dials += 1
+    def record_unanswered_dial(self) -> None:
+        """A connection was not established in time: the server's machine may be out of contact."""
+        self.unanswered_dials += 1
 
-    def record_dial(self, now_ms: float) -> None:
-        """A connection was established: the server's machine is running."""
-        if self.failed_dials >= OUTAGE_DIALS:
-            self._outages.append(Outage(max(self._last_sign_ms, self._due_since_ms), now_ms))
-        self.failed_dials = 0
+    def record_refused_dial(self, now_ms: float) -> None:
+        """A connection was refused: the server's machine is in contact, and nothing listens there now.
+
+        Guards against a machine that comes back without its process and looks alive: the process may have
+        ended, or live and accept no connection, so neither the silence nor an outage is over for it."""
+        self._end_outage(now_ms)
+        self._refused_ms = now_ms
+
+    def record_connected(self, now_ms: float) -> None:
+        """A connection was established: the machine is in contact, and some process listens there."""
+        self._end_outage(now_ms)
         self._last_sign_ms = now_ms
 
-    def is_silent(self, now_ms: float) -> bool:
-        """Has the server been silent for long while a message is due?"""
-        return self.silence_ms(now_ms) >= SILENT_MS
+    def _end_outage(self, now_ms: float) -> None:
+        """The machine is in contact: if it was out of contact, its process may not have outlived that."""
+        if self.unanswered_dials >= OUTAGE_DIALS:
+            self._outages.append(Outage(max(self._last_sign_ms, self._due_since_ms), now_ms))
+        self.unanswered_dials = 0
+
+    def is_dial_due(self, now_ms: float) -> bool:
+        """Has the server been silent for long while a message is due, and refused no connection since?"""
+        return self.silence_ms(now_ms) >= SILENT_MS and now_ms - self._refused_ms >= SILENT_MS
 
     def is_dead(self, now_ms: float) -> bool:
         """Is the server dead, so that its established calls are to be released?"""
-        return self.failed_dials >= OUTAGE_DIALS and self.silence_ms(now_ms) >= DEAD_AFTER_MS
+        return self.unanswered_dials >= OUTAGE_DIALS and self.silence_ms(now_ms) >= DEAD_AFTER_MS
 
     def take_unconfirmed_ms(self, now_ms: float) -> float | None:
         """Return the end of the last outage that the process has not outlived by now, and forget it.
--- a/pearloom/sip/server_loss.py
+++ b/pearloom/sip/server_loss.py
@@ -23,17 +23,17 @@
     def record_connected(self, opened_ms: float) -> None:
         """A connection was established: after failed dials, the process at its other end may be a new one."""
         liveness = self.liveness
-        if liveness.failed_dials:
+        if liveness.unanswered_dials:
             log_event(
                 logging.INFO,
                 "server_reconnected",
                 server=self._server,
-                failed_dials=liveness.failed_dials,
+                failed_dials=liveness.unanswered_dials,
                 silent_ms=round(liveness.silence_ms(opened_ms)),
                 standing_calls=self._exchange.established_at(self._server),
                 older_connections=len(self._links),
             )
-        liveness.record_dial(opened_ms)
+        liveness.record_connected(opened_ms)
 
     def confirm_by_call(self, call: str) -> None:
         """The server sent something about this call: if it is established, its process still runs."""
--- a/pearloom/sip/trunk.py
+++ b/pearloom/sip/trunk.py
@@ -224,11 +224,11 @@
             else:
                 self._waiting.append(outbound)
         if is_refused and self._links and not self.is_ready:
-            # A draining server refuses new connections while its calls go on: its machine is running.
-            self._liveness.record_sign_of_life(self.now_ms)
+            # A draining server refuses new connections while its calls go on.
+            self._liveness.record_refused_dial(self.now_ms)
             return
         if failure.kind is not DialFailureKind.NOT_TRIED:
-            self._liveness.record_failed_dial()
+            self._liveness.record_unanswered_dial()
         # If no connection is left, a refused one proves that the process has ended. One that is never
         # established may be due to a lost packet, so it takes two of them, and a long silence.
         if is_refused and not self._links:
@@ -311,7 +311,7 @@
             )
         if is_gone and self.now_ms - self._links.last_message_ms() >= SILENT_MS:
             self._on_lost("gone")
-        elif not is_gone and self._liveness.is_silent(self.now_ms):
+        elif not is_gone and self._liveness.is_dial_due(self.now_ms):
             # Hung and vanished machines leave connections open; only a vanished one accepts no new one.
             self._links.close_spare()
             self.dial()
--- a/tests/player.py
+++ b/tests/player.py
@@ -227,7 +227,7 @@
         elif verb == "closed":
             assert self.peers[party].recv(1) == b"", "still open"
         elif verb == "stops":
-            self.listeners.pop(party).close()
+            self.stop_listening(party)
         elif verb == "mutes":
             self.mute(party)
         else:
@@ -252,6 +252,12 @@
         listener.listen(0)
         self.filler_connections = [socket.create_connection(self.addresses[party])]
 
+    def stop_listening(self, party: str) -> None:
+        """Refuse new connections; those that are open stay so."""
+        self.listeners.pop(party).close()
+        for filler in self.filler_connections:
+            filler.close()
+
     def substitute(self, text: str) -> str:
         for number in range(1, SERVER_COUNT + 1):
             host, port = self.addresses[f"s{number}"]
--- a/tests/races/test_outages.py
+++ b/tests/races/test_outages.py
@@ -234,3 +234,46 @@
         harness.advance_ms(STEP_MS)
     assert harness.softswitch.exchange.is_established(CALL)
     harness.play_steps(("unseen", "server_lost", ""))
+
+
+def drain(harness: Harness) -> None:
+    draining = "[0000000000000002 02 00000001 {a1} {p1} 01 00 00 0000 000003e8 0000000000000000]"
+    harness.play_steps(("co", "opens", ""), ("co", ">", draining), ("log", "", "list index=2"))
+
+
+def return_without_a_listener(harness: Harness) -> None:
+    """Refuse connections; the connection from before the outage stays open."""
+    harness.stop_listening("s1")
+    harness.advance_ms(REDIAL_DELAY_MS)
+    harness.play_steps(("log", "", f"dial_failed server={SERVER} refused=True"))
+
+
+@pytest.mark.parametrize("is_draining", [True, False])
+def test_calls_at_a_machine_that_returns_and_refuses_connections_are_released_within_8_s(
+    harness: Harness, is_draining: bool
+) -> None:
+    """Guards against a refused connection that looks like a sign of the process that had the calls."""
+    establish(harness, CALL)
+    if is_draining:
+        drain(harness)
+    lost_ms = lose_contact(harness)
+    return_without_a_listener(harness)
+    advance_until(harness, lost_ms + RELEASE_DUE_MS)
+    harness.play_steps(("c1", "<", f"(0c {CALL} 2d(29))"), ("log", "", f"server_lost server={SERVER}"))
+
+
+@pytest.mark.parametrize("is_draining", [True])
+def test_calls_at_a_server_that_was_cut_off_and_refuses_connections_are_kept(
+    harness: Harness, is_draining: bool
+) -> None:
+    """Guards against cutting calls whose process speaks after an outage, but accepts no connection."""
+    establish(harness, CALL)
+    if is_draining:
+        drain(harness)
+    lose_contact(harness)
+    return_without_a_listener(harness)
+    speak_on_the_old_connection(harness)
+    harness.settle()
+    advance_until(harness, harness.clock.now_ms() + CONFIRM_WITHIN_MS + 1000.0)
+    assert harness.softswitch.exchange.is_established(CALL)
+    harness.play_steps(("unseen", "server_lost", ""))
