Keep calls at a silent full server that refuses connections while an old one is open

What callers would see: a server that is full refuses connections and says nothing for 6.5 s while its calls stand; they were called over (server_lost reason=silent) with an old connection open.

Cause: a refusal by a server that is not draining counted like a dial that nobody answered.

Change: while a connection is open a refusal counts alike for ready and draining servers: for the machine, not for the process.

Tests: test_outages.py, a silent server that refuses (ready) and one cut off that refuses (ready): both failed before, pass now; the others of the file and test_lost_machine.py pass. Ruled out: the list (with the server listed as draining the test passed before).

--- a/pearloom/sip/trunk.py
+++ b/pearloom/sip/trunk.py
@@ -223,11 +223,12 @@
                     self._invites.end(outbound, AttemptError(Progress.CONNECTING, failure.reason))
             else:
                 self._waiting.append(outbound)
-        if is_refused and self._links and not self.is_ready:
-            # A draining server refuses new connections while its calls go on.
+        if is_refused and self._links:
+            # A server that drains or is full refuses new connections while its calls go on.
             self._liveness.record_refused_dial(self.now_ms)
-            return
-        if failure.kind is not DialFailureKind.NOT_TRIED:
+            if not self.is_ready:
+                return
+        elif failure.kind is not DialFailureKind.NOT_TRIED:
             self._liveness.record_unanswered_dial()
         # If no connection is left, a refused one proves that the process has ended. One that is never
         # established may be due to a lost packet, so it takes two of them, and a long silence.
--- a/tests/races/test_outages.py
+++ b/tests/races/test_outages.py
@@ -262,7 +262,7 @@
     harness.play_steps(("c1", "<", f"(0c {CALL} 2d(29))"), ("log", "", f"server_lost server={SERVER}"))
 
 
-@pytest.mark.parametrize("is_draining", [True])
+@pytest.mark.parametrize("is_draining", [True, False])
 def test_calls_at_a_server_that_was_cut_off_and_refuses_connections_are_kept(
     harness: Harness, is_draining: bool
 ) -> None:
@@ -277,3 +277,22 @@
     advance_until(harness, harness.clock.now_ms() + CONFIRM_WITHIN_MS + 1000.0)
     assert harness.softswitch.exchange.is_established(CALL)
     harness.play_steps(("unseen", "server_lost", ""))
+
+
+@pytest.mark.parametrize("is_draining", [True, False])
+def test_calls_at_a_silent_server_that_refuses_connections_are_kept_while_an_old_one_is_open(
+    harness: Harness, is_draining: bool
+) -> None:
+    """Guards against refusals that count as failed dials: a full server is taken for a dead one."""
+    establish(harness, CALL)
+    if is_draining:
+        drain(harness)
+    harness.stop_listening("s1")
+    for _ in range(30):
+        harness.advance_ms(STEP_MS)
+        await_dials(harness)
+    harness.play_steps(
+        ("log", "", f"dial_failed server={SERVER} refused=True"), ("unseen", "server_lost", "")
+    )
+    send_bye(harness, "s1", CALL)
+    harness.play_steps(("c1", "<", f"(0c {CALL} 2d(10))"))
