--- a/benchmarks/guards/calls.py
+++ b/benchmarks/guards/calls.py
@@ -12,6 +12,7 @@
     "tests/races/test_standing_still.py",
     "tests/races/test_outages.py",
 )
+REFUSED = "tests/races/test_refused_connections.py"
 COLD_START, SETTINGS, PROGRAM = (
     "tests/test_cold_starts.py",
     "tests/test_generated_settings.py",
@@ -45,7 +46,12 @@
     Guard("idle connections close before their server closes them", "sip/links.py", "if not link.unanswered and now_ms - link.last_used_ms >= self._idle_ms:", "if False:", (SERVER,)),
     Guard("descriptors are reserved for other uses than servers", "sip/trunk.py", "not self._links or self._directory.may_open_another", "True", (SERVER,)),
     Guard("an outage is noted when a connection comes up", "sip/liveness.py", "if self.unanswered_dials >= OUTAGE_DIALS:", "if False:", (OUTAGE,)),
-    Guard("a refused connection is no sign of the process", "sip/trunk.py", "            self._liveness.record_refused_dial(self.now_ms)\n            return\n", "            self._liveness.record_connected(self.now_ms)\n            return\n", (OUTAGE,)),
+    Guard("a refused connection is no sign of the process", "sip/trunk.py", "            self._liveness.record_refused_dial(now, has_connection=bool(self._links))\n", "            self._liveness.record_connected(now)\n", (OUTAGE,)),
+    Guard("a refused connection does not end calls at once", "sip/trunk.py", "if is_refused and not self._links and self._liveness.is_overdue(now):", "if is_refused and not self._links:", (REFUSED,)),
+    Guard("a process that can't be heard ends in time", "sip/trunk.py", "if is_refused and not self._links and self._liveness.is_overdue(now):", "if False:", (REFUSED,)),
+    Guard("a connection closed in order is a sign of its process", "sip/liveness.py", "not has_connection and not self._has_orderly_end", "not has_connection", (REFUSED,)),
+    Guard("a process that broke its last connection may be another one", "sip/liveness.py", "not has_connection and not self._has_orderly_end", "False", (REFUSED,)),
+    Guard("refusals lead to one series of dials", "sip/trunk.py", "        elif not self._is_redial_due:\n", "        else:\n", (REFUSED,)),
     Guard("a message on an earlier connection ends the doubt", "sip/liveness.py", "        self.confirm_process(opened_ms)\n", "", (OUTAGE,)),
     Guard("a message about an earlier call ends the doubt", "sip/server_loss.py", "            self.liveness.confirm_process(established_ms)\n", "            pass\n", (OUTAGE,)),
     Guard("a later process says nothing of the earlier one", "sip/liveness.py", "if outage.ended_ms <= known_since_ms]", "if False]", (OUTAGE,)),
--- a/pearloom/core/connection.py
+++ b/pearloom/core/connection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import logging
 import select
 import socket as plain_socket
@@ -23,6 +24,7 @@
 BATCH_BYTES = 32 * 1024  # written by one system call
 WRITE_TIMEOUT_S = 2.0  # a peer that accepts nothing for this long is considered gone
 FINAL_READ_S = 0.05  # after a failed write: by then, what the peer sent before its close has arrived
+RESET_REASONS = frozenset(f"errno {code}" for code in (errno.ECONNRESET, errno.EPIPE))
 _PEER_ENDED = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
 
--- a/pearloom/fakes/sip_server.py
+++ b/pearloom/fakes/sip_server.py
@@ -64,7 +64,12 @@
         self._releases: list[_Release] = []  # the oldest first
         self._socks: list[socket.socket] = []
         self._serving: list[gevent.Greenlet[..., None]] = []
-        self._lost: list[socket.socket] = []  # from before the machine's loss, and those that fill the queue
+        self._lost: list[socket.socket] = []  # from before the machine's loss
+        self._fillers: list[socket.socket] = []  # that fill the queue of a machine out of contact
+        self._held: list[tuple[socket.socket, bytes]] | None = None  # written while it is cut off
+        self._listen(address)
+
+    def _listen(self, address: Address) -> None:
         self._listener = socket.socket()
         self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self._listener.bind(address)
@@ -183,6 +188,9 @@
         self._releases.append(_Release(bye, call_state.sock, time.time()))
 
     def _write(self, sock: socket.socket, data: bytes) -> None:
+        if self._held is not None:
+            self._held.append((sock, data))
+            return
         with contextlib.suppress(OSError):
             sock.sendall(data)
 
@@ -194,6 +202,20 @@
             if sock in self._socks:
                 self._socks.remove(sock)
 
+    def refuse_connections(self) -> None:
+        """Accept no further connection, as a server that drains or is full; calls and connections stay."""
+        self._accepting.kill()
+        self._listener.close()
+
+    def accept_connections(self) -> None:
+        """Accept connections again, at the same address."""
+        self._listen(self.address)
+
+    def close_connections(self) -> None:
+        """Close all connections in order; calls stay."""
+        for sock in self._socks:
+            sock.shutdown(socket.SHUT_WR)
+
     def die(self) -> None:
         """End as a crashed process does: all connections close, all calls are lost."""
         self._journal.add(EntryKind.DIED, self.server)
@@ -206,14 +228,30 @@
         self._journal.add(EntryKind.DIED, self.server)
         self._calls.clear()
         self._releases.clear()
-        gevent.killall([self._accepting, *self._serving])
+        self._stop_accepting_and_reading()
         self._lost, self._socks = self._socks, []
+
+    def cut_off(self) -> None:
+        """Lose contact and live on: connections are silent, calls go on, what is written is held back."""
+        self._held = []
+        self._stop_accepting_and_reading()
+
+    def rejoin(self) -> None:
+        """End a `cut_off`: what was held back is sent, and all connections are read again."""
+        held, self._held = self._held or [], None
+        for sock, data in held:
+            self._write(sock, data)
+        self._serving = [gevent.spawn(self._serve, sock) for sock in self._socks]
+        for filler in self._fillers:
+            filler.close()
+
+    def _stop_accepting_and_reading(self) -> None:
+        gevent.killall([self._accepting, *self._serving])
         self._listener.listen(0)
-        for _ in range(FILLERS):
-            filler = socket.socket()
+        self._fillers = [socket.socket() for _ in range(FILLERS)]
+        for filler in self._fillers:
             filler.setblocking(False)
             filler.connect_ex(self.address)
-            self._lost.append(filler)
 
     def return_cold(self) -> None:
         """Come back without calls and connections: one from before is reset by its first byte."""
@@ -227,9 +265,9 @@
         self._listener.close()
 
     def _forget_connections(self) -> None:
-        for sock in self._lost[:-FILLERS]:
+        for sock in self._lost:
             gevent.spawn(self._reset_on_data, sock)
-        for filler in self._lost[-FILLERS:]:
+        for filler in self._fillers:
             filler.close()
 
     @staticmethod
@@ -243,6 +281,6 @@
         """Stop listening and close all connections."""
         self._accepting.kill()
         self._listener.close()
-        for sock in (*self._socks, *self._lost):
+        for sock in (*self._socks, *self._lost, *self._fillers):
             sock.close()
         self._socks.clear()
--- a/pearloom/sip/link.py
+++ b/pearloom/sip/link.py
@@ -27,6 +27,8 @@
 # Without a message since an unanswered set-up was given up; then the connection is closed and another opened.
 # A release that the server sent on it meanwhile is due at its caller within 1 s.
 MUTE_TIMEOUT_MS = 750.0
+CLOSED_BY_SERVER, IDLE, SPARE = "closed by server", "idle", "spare"  # reasons of a connection's end
+ORDERLY_ENDS = frozenset({CLOSED_BY_SERVER, IDLE, SPARE})  # say nothing against the server's process
 
 _numbers = itertools.count()
 
@@ -109,6 +111,11 @@
         """Was a set-up given up here, without a message since it was sent?"""
         return self.mute_since_ms < math.inf
 
+    @property
+    def is_answered(self) -> bool:
+        """Has the server answered, in time, each set-up that was sent here?"""
+        return not self.unanswered and not self.is_mute
+
     def record_message(self, now_ms: float) -> None:
         """A message came on this connection."""
         self.last_message_ms = self.last_used_ms = now_ms
@@ -146,7 +153,7 @@
         self.connection.close("malformed")
 
     def _on_ended(self) -> None:
-        self.connection.close("closed by server")
+        self.connection.close(CLOSED_BY_SERVER)
 
     def _on_closed(self, reason: str, unsent: list[OutboundMessage]) -> None:
         self._trunk.on_link_closed(self, reason, unsent)
--- a/pearloom/sip/links.py
+++ b/pearloom/sip/links.py
@@ -5,7 +5,7 @@
 import math
 from collections.abc import Iterator
 
-from pearloom.sip.link import Link
+from pearloom.sip.link import IDLE, SPARE, Link
 
 MAX_LINKS = 8  # connections to one server: one that breaks takes an eighth of the set-ups along
 IDLE_SHARE = 0.9  # of the time after which the server closes an idle connection: closed here before that
@@ -67,7 +67,7 @@
         """If there are too many connections, close one without set-ups."""
         unused = next((link for link in self._links if not link.unanswered), None)
         if len(self._links) >= MAX_LINKS and unused is not None:
-            unused.connection.close("spare")
+            unused.connection.close(SPARE)
 
     def close_all(self, reason: str) -> None:
         """Close all connections."""
@@ -95,4 +95,4 @@
         for link in self:
             link.watch(now_ms)
             if not link.unanswered and now_ms - link.last_used_ms >= self._idle_ms:
-                link.connection.close("idle")
+                link.connection.close(IDLE)
--- a/pearloom/sip/liveness.py
+++ b/pearloom/sip/liveness.py
@@ -17,8 +17,8 @@
 # Of silence. The calls of a dead machine have to be released within 8 s, but a machine that is only cut off
 # keeps its calls: this is as late as the 8 s allow, with 0.75 s for a dial.
 DEAD_AFTER_MS = 6500.0
-# From the last sign before an outage until the process has to have shown that it outlived the outage: as late
-# as the 8 s allow, with 0.75 s for a process that gets to its timers late.
+# From the last sign of a process until it has to have shown that it outlived an outage, or the end of
+# its last connection: as late as the 8 s allow, with 0.75 s for a softswitch that gets to its timers late.
 CONFIRM_WITHIN_MS = 7250.0
 
 
@@ -34,6 +34,8 @@
         self._due_since_ms = now_ms
         self.unanswered_dials = 0  # in a row, without a message or a refusal between them
         self._refused_ms = -math.inf  # when a connection was refused last
+        self._has_orderly_end = True  # of the connection that ended last
+        self._may_be_replaced = False  # the last connection broke, and nothing listened there after that
         self._outages: list[Outage] = []  # which no message has shown to be outlived; the oldest first
         self._heard_at_ms = self._known_since_ms = 0.0  # of the last message, as in `Heard`
 
@@ -86,25 +88,40 @@
         """A connection was not established in time: the server's machine may be out of contact."""
         self.unanswered_dials += 1
 
-    def record_refused_dial(self, now_ms: float) -> None:
+    def record_connection_end(self, now_ms: float, shows_process: bool, is_orderly: bool) -> None:
+        """A connection ended. `shows_process`: the process closed it, or its machine knew it until now.
+
+        `is_orderly`: closed by a process that went on to run, or for a reason of this side."""
+        self._has_orderly_end = is_orderly
+        if shows_process and not self.unanswered_dials and not self._outages:
+            self._last_sign_ms = max(now_ms, self._last_sign_ms)
+
+    def record_refused_dial(self, now_ms: float, has_connection: bool) -> None:
         """A connection was refused: the server's machine is in contact, and nothing listens there now.
 
         Guards against a machine that comes back without its process and looks alive: the process may have
         ended, or live and accept no connection, so neither the silence nor an outage is over for it."""
         self._end_outage(now_ms)
         self._refused_ms = now_ms
+        self._may_be_replaced = not has_connection and not self._has_orderly_end
 
     def record_connected(self, now_ms: float) -> None:
         """A connection was established: the machine is in contact, and some process listens there."""
+        if self._may_be_replaced:
+            self._add_outage(now_ms)
         self._end_outage(now_ms)
         self._last_sign_ms = now_ms
 
     def _end_outage(self, now_ms: float) -> None:
         """The machine is in contact: if it was out of contact, its process may not have outlived that."""
         if self.unanswered_dials >= OUTAGE_DIALS:
-            self._outages.append(Outage(max(self._last_sign_ms, self._due_since_ms), now_ms))
+            self._add_outage(now_ms)
         self.unanswered_dials = 0
 
+    def _add_outage(self, ended_ms: float) -> None:
+        self._outages.append(Outage(max(self._last_sign_ms, self._due_since_ms), ended_ms))
+        self._may_be_replaced = False
+
     def is_dial_due(self, now_ms: float) -> bool:
         """Has the server been silent for long while a message is due, and refused no connection since?"""
         return self.silence_ms(now_ms) >= SILENT_MS and now_ms - self._refused_ms >= SILENT_MS
@@ -113,6 +130,10 @@
         """Is the server dead, so that its established calls are to be released?"""
         return self.unanswered_dials >= OUTAGE_DIALS and self.silence_ms(now_ms) >= DEAD_AFTER_MS
 
+    def is_overdue(self, now_ms: float) -> bool:
+        """Has a process that can be heard on no connection had its time to show itself?"""
+        return self.silence_ms(now_ms) >= CONFIRM_WITHIN_MS
+
     def take_unconfirmed_ms(self, now_ms: float) -> float | None:
         """Return the end of the last outage that the process has not outlived by now, and forget it.
 
--- a/pearloom/sip/server_loss.py
+++ b/pearloom/sip/server_loss.py
@@ -4,8 +4,10 @@
 
 import logging
 
+from pearloom.core.connection import RESET_REASONS
 from pearloom.core.logs import log_event
 from pearloom.servers.directory import Directory
+from pearloom.sip.link import CLOSED_BY_SERVER, ORDERLY_ENDS, Link
 from pearloom.sip.links import Links
 from pearloom.sip.liveness import Liveness
 
@@ -35,6 +37,18 @@
             )
         liveness.record_connected(opened_ms)
 
+    def record_connection_end(self, link: Link, reason: str) -> None:
+        """A connection ended, whichever side ended it.
+
+        A reset of one whose set-ups are all answered comes from a machine that knew it until then; one with a
+        set-up unanswered may have been unknown for long."""
+        is_reset = reason in RESET_REASONS and link.is_answered
+        self.liveness.record_connection_end(
+            self._clock.now_ms(),
+            shows_process=reason == CLOSED_BY_SERVER or is_reset,
+            is_orderly=reason in ORDERLY_ENDS,
+        )
+
     def confirm_by_call(self, call: str) -> None:
         """The server sent something about this call: if it is established, its process still runs."""
         established_ms = self._exchange.established_ms(self._server, call)
--- a/pearloom/sip/trunk.py
+++ b/pearloom/sip/trunk.py
@@ -54,6 +54,7 @@
         self._loss = ServerLoss(directory, self.name, self._links)
         self.contact_tracker = self._liveness = self._loss.liveness
         self.dialling = False
+        self._is_redial_due = False  # guards against several series of dials to a server that refuses them
         self._waiting: list[OutboundMessage] = []
         self._invites = InviteTransactions(directory, self.name, self.release)
         self._byes = RecentValues[OutboundMessage](BYE_RESEND_MS)
@@ -223,23 +224,25 @@
                     self._invites.end(outbound, AttemptError(Progress.CONNECTING, failure.reason))
             else:
                 self._waiting.append(outbound)
-        if is_refused and self._links:
-            # A server that drains or is full refuses new connections while its calls go on.
-            self._liveness.record_refused_dial(self.now_ms)
-            if not self.is_ready:
-                return
-        elif failure.kind is not DialFailureKind.NOT_TRIED:
+        now = self.now_ms
+        if is_refused:
+            self._liveness.record_refused_dial(now, has_connection=bool(self._links))
+        elif failure.kind is DialFailureKind.UNANSWERED:
             self._liveness.record_unanswered_dial()
-        # If no connection is left, a refused one proves that the process has ended. One that is never
-        # established may be due to a lost packet, so it takes two of them, and a long silence.
-        if is_refused and not self._links:
+        if is_refused and self._links and not self.is_ready:
+            return  # a draining server accepts no more connections; its calls go on
+        # A refused connection proves nothing of the process, which may be full or have ended. One that is
+        # never established may be due to a lost packet, so it takes two of them, and a long silence.
+        if is_refused and not self._links and self._liveness.is_overdue(now):
             self._on_lost("refused")
-        elif self._liveness.is_dead(self.now_ms):
+        elif self._liveness.is_dead(now):
             self._on_lost("silent")
-        elif self._exchange.established_at(self.name) or self._waiting:
+        elif not self._is_redial_due:
+            self._is_redial_due = True
             self._directory.exchange.after_ms(REDIAL_DELAY_MS, self._redial)
 
     def _redial(self) -> None:
+        self._is_redial_due = False
         if self._exchange.established_at(self.name) or self._waiting:
             self.dial()
 
@@ -260,6 +263,7 @@
     def on_link_closed(self, link: Link, reason: str, unsent: list[OutboundMessage]) -> None:
         """A connection has ended, and with it its unanswered set-ups, but no established call."""
         self._links.remove(link)
+        self._loss.record_connection_end(link, reason)
         if reason != "done":
             link.log_closed(self.name, reason, self.now_ms)
         if link.unanswered:
