--- a/benchmarks/guards/calls.py
+++ b/benchmarks/guards/calls.py
@@ -12,6 +12,7 @@
     "tests/races/test_standing_still.py",
     "tests/races/test_outages.py",
 )
+SILENT = "tests/races/test_silent_connections.py"
 REFUSED = "tests/races/test_refused_connections.py"
 COLD_START, SETTINGS, PROGRAM = (
     "tests/test_cold_starts.py",
@@ -52,6 +53,8 @@
     Guard("a connection closed in order is a sign of its process", "sip/liveness.py", "not has_connection and not self._has_orderly_end", "not has_connection", (REFUSED,)),
     Guard("a process that broke its last connection may be another one", "sip/liveness.py", "not has_connection and not self._has_orderly_end", "False", (REFUSED,)),
     Guard("refusals lead to one series of dials", "sip/trunk.py", "        elif not self._is_redial_due:\n", "        else:\n", (REFUSED,)),
+    Guard("a silent connection of several is replaced", "sip/trunk.py", " or self._has_silent_link()):", "):", (SILENT,)),
+    Guard("a connection without calls is not replaced", "sip/links.py", "link.calls or self._has_other_calls(established)", "True", (SILENT,)),
     Guard("a message on an earlier connection ends the doubt", "sip/liveness.py", "        self.confirm_process(opened_ms)\n", "", (OUTAGE,)),
     Guard("a message about an earlier call ends the doubt", "sip/server_loss.py", "            self.liveness.confirm_process(established_ms)\n", "            pass\n", (OUTAGE,)),
     Guard("a later process says nothing of the earlier one", "sip/liveness.py", "if outage.ended_ms <= known_since_ms]", "if False]", (OUTAGE,)),
--- a/pearloom/sip/invites.py
+++ b/pearloom/sip/invites.py
@@ -110,7 +110,9 @@
             return
         self._remove(outbound)
         outbound.progress = Progress.ANSWERED
-        if not self._exchange.handle_answer(outbound.call, outbound.set_up.attempt, response.body):
+        if self._exchange.handle_answer(outbound.call, outbound.set_up.attempt, response.body):
+            link.calls.add(outbound.call)
+        else:
             self._release_unwanted(outbound.call, outbound.set_up.request.number)
 
     @staticmethod
--- a/pearloom/sip/link.py
+++ b/pearloom/sip/link.py
@@ -97,6 +97,7 @@
         self.has_ended = False  # the server closed it, and the end is not read yet
         self.mute_since_ms = math.inf  # when a set-up was given up after which no message came
         self.unanswered: dict[str, OutboundSetUp] = {}
+        self.calls: set[str] = set()  # established by an answer here; the server releases them here
         self.connection = Connection(
             sock, self._on_data, self._on_ended, self._on_closed, trunk.queue_budget, trunk.turns, READ_BYTES
         )
--- a/pearloom/sip/links.py
+++ b/pearloom/sip/links.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterator
+from collections.abc import Collection, Iterator
 
 from pearloom.sip.link import IDLE, SPARE, Link
 
 MAX_LINKS = 8  # connections to one server: one that breaks takes an eighth of the set-ups along
+# Of one connection, while calls stand whose releases come on it; then another one is opened, on which the
+# server repeats them. A lost release is due 8 s after its call's end: as late as that allows, with a dial.
+LINK_SILENT_MS = 6500.0
 IDLE_SHARE = 0.9  # of the time after which the server closes an idle connection: closed here before that
 
 
@@ -22,6 +25,7 @@
         """Start without connections; `idle_ms`: after which the server closes an idle one."""
         self._links: list[Link] = []
         self._idle_ms = IDLE_SHARE * idle_ms
+        self._dialled_ms = -math.inf  # when a connection was opened last, or tried for a silent one
 
     def __len__(self) -> int:
         """The number of connections."""
@@ -34,6 +38,7 @@
     def add(self, link: Link) -> None:
         """Add an established connection."""
         self._links.append(link)
+        self._dialled_ms = link.opened_ms
 
     def remove(self, link: Link) -> None:
         """Remove a closed connection, if it is one of these."""
@@ -69,6 +74,38 @@
         if len(self._links) >= MAX_LINKS and unused is not None:
             unused.connection.close(SPARE)
 
+    def discard_call(self, call: str) -> None:
+        """Forget a call that has ended."""
+        for link in self._links:
+            link.calls.discard(call)
+
+    def should_replace_silent(self, now_ms: float, established: Collection[str]) -> bool:
+        """Should another connection be opened, since releases may be lost on one? If so, a dial is noted.
+
+        `established`: all calls at the server. Guards against calls that stand for ever since one connection
+        of several has fallen silent: what comes on the others says nothing of it. The release of a call
+        whose connection has ended may come on any of them."""
+        if now_ms - self._dialled_ms < LINK_SILENT_MS:
+            return False
+        is_needed = any(
+            link.calls or self._has_other_calls(established)
+            for link in self._links
+            if now_ms - link.last_message_ms >= LINK_SILENT_MS
+        )
+        if is_needed:
+            self._dialled_ms = now_ms
+        return is_needed
+
+    def _has_other_calls(self, established: Collection[str]) -> bool:
+        """Is there a call at the server whose connection is none of these?"""
+        return len(established) > sum(len(link.calls) for link in self._links)
+
+    def forget_ended_calls(self, established: Collection[str]) -> None:
+        """Forget calls that ended without a release here, such as those that were cut."""
+        for link in self._links:
+            if len(link.calls) > len(established):
+                link.calls.intersection_update(established)
+
     def close_all(self, reason: str) -> None:
         """Close all connections."""
         for link in self:
--- a/pearloom/sip/trunk.py
+++ b/pearloom/sip/trunk.py
@@ -143,6 +143,7 @@
     def release(self, call: str, number: str, cause: int) -> None:
         """Send a BYE."""
         self._directory.counters.add("byes_out")
+        self._links.discard_call(call)
         outbound = OutboundMessage(requests.bye(call, number, cause), call)
         self._byes.put(call, outbound, self.now_ms)
         self._send(outbound)
@@ -316,11 +317,17 @@
             )
         if is_gone and self.now_ms - self._links.last_message_ms() >= SILENT_MS:
             self._on_lost("gone")
-        elif not is_gone and self._liveness.is_dial_due(self.now_ms):
+        elif not is_gone and (self._liveness.is_dial_due(self.now_ms) or self._has_silent_link()):
             # Hung and vanished machines leave connections open; only a vanished one accepts no new one.
             self._links.close_spare()
             self.dial()
 
+    def _has_silent_link(self) -> bool:
+        """May releases be lost on a connection, however much comes on the others?"""
+        established = self._exchange.established.at(self.name)
+        self._links.forget_ended_calls(established)
+        return self._links.should_replace_silent(self.now_ms, established)
+
     def _hand_over_calls(self) -> None:
         """Give the calls of the process that now has this address to the server that it is listed as.
 
@@ -373,6 +380,7 @@
             )
 
     def _on_released(self, call: str, cause: int) -> None:
+        self._links.discard_call(call)
         if not self._invites.handle_release(call):
             self._loss.confirm_by_call(call)
             self._exchange.handle_server_release(self.name, call, cause)
