--- a/pearloom/servers/coordinator.py
+++ b/pearloom/servers/coordinator.py
@@ -8,12 +8,14 @@
 
 import logging
 import struct
-from collections.abc import Sequence
+import time
+from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
 from ipaddress import IPv4Address
 
 import gevent
 from gevent import socket
+from gevent.event import Event
 
 from pearloom import interface as api
 from pearloom.core.config import Address, ListUpdate, Server
@@ -25,6 +27,8 @@
 CONNECT_TIMEOUT_S = 1.0
 FRAME_TIMEOUT_S = 2.5  # for a whole frame: the coordinator sends a heartbeat each second
 RECONNECT_DELAY_S = 0.1
+# At once, while none brings a frame: what is this late is out of date, as events count as told after 7 s.
+MAX_STREAMS = 4
 MAX_FRAME_BYTES = 1 << 20
 READ_BYTES = 64 * 1024
 _FRAME = struct.Struct(">IQB")
@@ -94,18 +98,33 @@
     return tuple(server for server in servers.values() if server.entry.state is not api.PoolState.GONE)
 
 
-def _read_events(sock: socket.socket, decoder: Decoder) -> list[ListUpdate | Heartbeat | Malformed]:
-    """Read until at least one frame is complete; raises TimeoutError, or ConnectionError at the stream's end.
+class _Stream:
+    """One connection to the coordinator."""
 
-    Guards against a stream that falls silent, in the middle of a frame or with only a byte now and then: the
-    coordinator sends a whole frame each second."""
-    with gevent.Timeout(FRAME_TIMEOUT_S, TimeoutError("no whole frame")):
-        while True:
-            data = sock.recv(READ_BYTES)
-            if not data:
-                raise ConnectionError("closed")
-            if events := decoder.feed(data):
-                return events
+    def __init__(self, address: Address, index: int, zones: Sequence[str]) -> None:
+        """Prepare to ask `address` for the events after `index`."""
+        self._address, self._index = address, index
+        self._decoder = Decoder(zones)
+        self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self.silent_since_s = time.monotonic()  # its start, or its last whole frame
+        self.is_abandoned = False  # closed by this side
+
+    def frames(self) -> Iterator[list[ListUpdate | Heartbeat | Malformed]]:
+        """Yield the events of whole frames as they come; raises OSError at the stream's end."""
+        self._sock.settimeout(CONNECT_TIMEOUT_S)
+        self._sock.connect(self._address)
+        self._sock.sendall(self._index.to_bytes(8, "big"))
+        self._sock.settimeout(None)
+        while data := self._sock.recv(READ_BYTES):
+            if events := self._decoder.feed(data):
+                self.silent_since_s = time.monotonic()
+                yield events
+        raise ConnectionError("closed")
+
+    def abandon(self) -> None:
+        """Close the connection."""
+        self.is_abandoned = True
+        self._sock.close()
 
 
 class Coordinator:
@@ -120,8 +139,9 @@
         self.index = index  # of the last event applied
         self._pool_view = pool_view
         self._counters = counters
-        self._sock: socket.socket | None = None
-        self._moved = False  # the connection was closed by `move`, not lost
+        self._streams: list[_Stream] = []  # the oldest first
+        self._changed = Event()  # the newest stream ended
+        self._moved = False  # the streams were closed by `move`, not lost
         self.has_received = False  # has any frame come, if only a heartbeat?
 
     def start(self) -> None:
@@ -131,19 +151,21 @@
     def move(self, address: Address) -> None:
         """Continue the stream at another address, after the last event applied.
 
-        Closes the old connection, which would end only seconds later."""
+        Closes the old connections, which would end only seconds later."""
         self._address = address
-        if self._sock is not None:
-            self._moved = True
-            self._sock.close()
+        self._moved = True
+        for stream in self._streams:
+            stream.abandon()
+        self._streams.clear()
+        self._changed.set()
 
     def _follow(self) -> None:
         while True:
             try:
-                self._follow_connection()
-            except OSError as error:
-                if not self._moved:
-                    log_event(logging.WARNING, "coordinator_lost", index=self.index, reason=str(error))
+                self._open_stream()
+                self._await_end_or_silence()
+            except OSError as error:  # no descriptor
+                log_event(logging.WARNING, "coordinator_lost", index=self.index, reason=str(error))
             except Exception:
                 log_exception("coordinator_failed", index=self.index)
             if self._moved:
@@ -154,21 +176,54 @@
             else:
                 gevent.sleep(RECONNECT_DELAY_S)
 
-    def _follow_connection(self) -> None:
-        """Follow one connection until it ends, or brings no frame for too long."""
-        self._sock = sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    def _open_stream(self) -> None:
+        """Open another connection. Those before it are kept: what is on its way there may only be late."""
+        if len(self._streams) >= MAX_STREAMS:
+            self._streams.pop(0).abandon()
+        stream = _Stream(self._address, self.index, self._zones)
         self._moved = False
+        self._changed.clear()
+        self._streams.append(stream)
+        gevent.spawn(self._read, stream)
+
+    def _await_end_or_silence(self) -> None:
+        """Return once the newest stream has ended, or has brought no whole frame for too long.
+
+        Guards against a stream that falls silent, in the middle of a frame or with only a byte now and then:
+        the coordinator sends a whole frame each second."""
+        while not self._changed.is_set():
+            left_s = FRAME_TIMEOUT_S - (time.monotonic() - self._streams[-1].silent_since_s)
+            if left_s <= 0:
+                log_event(logging.WARNING, "coordinator_lost", index=self.index, reason="no whole frame")
+                return
+            self._changed.wait(left_s)
+
+    def _read(self, stream: _Stream) -> None:
+        """Apply what comes on a stream until it ends; the first one to bring a frame is kept alone."""
         try:
-            sock.settimeout(CONNECT_TIMEOUT_S)
-            sock.connect(self._address)
-            sock.sendall(self.index.to_bytes(8, "big"))
-            sock.settimeout(None)
-            decoder = Decoder(self._zones)
-            while True:
-                for event in _read_events(sock, decoder):
+            for events in stream.frames():
+                if stream.is_abandoned:
+                    break
+                self._abandon_others(stream)
+                for event in events:
                     self.apply_event(event)
-        finally:
-            sock.close()
+        except OSError as error:
+            if not stream.is_abandoned:
+                log_event(logging.WARNING, "coordinator_lost", index=self.index, reason=str(error))
+        except Exception:
+            log_exception("coordinator_failed", index=self.index)
+        stream.abandon()
+        if stream in self._streams:
+            is_newest = stream is self._streams[-1]
+            self._streams.remove(stream)
+            if is_newest:
+                self._changed.set()
+
+    def _abandon_others(self, stream: _Stream) -> None:
+        for other in self._streams:
+            if other is not stream:
+                other.abandon()
+        self._streams = [stream]
 
     def apply_event(self, event: ListUpdate | Heartbeat | Malformed) -> None:
         """Apply one event unless it is old; raises ConnectionError if the stream can't be decoded further."""
--- a/tests/races/test_coordinator.py
+++ b/tests/races/test_coordinator.py
@@ -36,6 +36,32 @@
         sender.kill()
 
 
+def test_a_frame_that_comes_late_on_a_silent_stream_is_applied(
+    harness: Harness, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a slow coordinator that is never heard: each stream was closed before its frames came.
+
+    The stream that brings a frame first is kept, and no other."""
+    monkeypatch.setattr(coordinator, "FRAME_TIMEOUT_S", 0.2)
+    harness.play_steps(("co", "opens", "first"), ("first", "<", REQUEST_FROM_1))
+    harness.play_steps(("co", "opens", "second"), ("second", "<", REQUEST_FROM_1))
+    monkeypatch.setattr(coordinator, "FRAME_TIMEOUT_S", 60.0)
+    harness.play_steps(("first", ">", f"[0000000000000002 {DRAINING_1}]"), ("log", "", "list index=2"))
+    harness.play_steps(("second", "closed", ""), ("first", ">", f"[0000000000000003 {READY_1}]"))
+    harness.play_steps(("log", "", "list index=3"))
+
+
+def test_a_silent_coordinator_has_four_streams_at_most(
+    harness: Harness, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against descriptors and load that grow for as long as the coordinator is silent."""
+    monkeypatch.setattr(coordinator, "FRAME_TIMEOUT_S", 0.1)
+    for number in range(coordinator.MAX_STREAMS + 1):
+        harness.play_steps(("co", "opens", f"stream {number}"))
+        harness.peers[f"stream {number}"].recv(8)
+    harness.play_steps(("stream 0", "closed", ""))
+
+
 def test_a_frame_cut_by_a_move_of_the_coordinator_is_requested_again(harness: Harness) -> None:
     harness.play_steps(("co", "opens", ""), ("co", "<", REQUEST_FROM_1))
     frame = encode(harness.substitute(f"[0000000000000002 {DRAINING_1}]"))
