Count a connection that is reset while it is opened as refused, not as unanswered

What callers would see: a full server that resets new connections in place of refusing them, and says nothing for 6.5 s, looked out of contact; its calls were called over with an old connection open.

Cause: each error of a dial but a refusal counted as unanswered, though a reset comes from the machine.

Change: one function reads the error of a connection that was being opened. Found by reading; no case or caller showed it.

Test: test_refused_connections.py, resets of new connections while an old one is open: failed before, passes; tests/races pass.

--- a/pearloom/sip/connecting.py
+++ b/pearloom/sip/connecting.py
@@ -13,7 +13,7 @@
 class DialFailureKind(Enum):
     """What a failed dial shows about the server."""
 
-    REFUSED = "refused"  # its machine answers, and no process listens
+    REFUSED = "refused"  # its machine turned the connection away, or reset it before it could be used
     UNANSWERED = "unanswered"  # no reply in time
     NOT_TRIED = "not tried"  # this process has no free descriptor, which shows nothing about the server
 
@@ -26,6 +26,12 @@
     reason: str
 
 
+def dial_failure(error: OSError) -> DialFailure:
+    """Return what this error of a connection that was being opened shows."""
+    is_refused = isinstance(error, ConnectionRefusedError | ConnectionResetError | BrokenPipeError)
+    return DialFailure(DialFailureKind.REFUSED if is_refused else DialFailureKind.UNANSWERED, str(error))
+
+
 def connect(address: Address, timeout_s: float) -> socket.socket | DialFailure:
     """Open a TCP connection, waiting for at most `timeout_s` seconds."""
     try:
@@ -37,7 +43,6 @@
         sock.connect(address)
     except OSError as error:
         sock.close()
-        is_refused = isinstance(error, ConnectionRefusedError)
-        return DialFailure(DialFailureKind.REFUSED if is_refused else DialFailureKind.UNANSWERED, str(error))
+        return dial_failure(error)
     sock.settimeout(None)
     return sock
--- a/pearloom/sip/trunk.py
+++ b/pearloom/sip/trunk.py
@@ -19,7 +19,7 @@
 from pearloom.servers.directory import Directory
 from pearloom.sip import codec as sip
 from pearloom.sip import requests
-from pearloom.sip.connecting import DialFailure, DialFailureKind, connect
+from pearloom.sip.connecting import DialFailure, DialFailureKind, connect, dial_failure
 from pearloom.sip.dialling import DialPolicy
 from pearloom.sip.invites import InviteTransactions
 from pearloom.sip.link import Link, OutboundSetUp
@@ -205,7 +205,7 @@
             link = Link(self, result, self._directory.clock.now_ms())
         except OSError as error:  # reset at once
             result.close()
-            self._on_dial_failed(DialFailure(DialFailureKind.UNANSWERED, str(error)))
+            self._on_dial_failed(dial_failure(error))
             return
         self._loss.record_connected(link.opened_ms)
         self._links.add(link)
--- a/tests/races/test_refused_connections.py
+++ b/tests/races/test_refused_connections.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import errno
 from collections.abc import Callable
 
 import gevent
 import pytest
 from gevent import socket
 
+from pearloom.sip import trunk
+from pearloom.sip.connecting import DialFailure, dial_failure
 from pearloom.sip.liveness import CONFIRM_WITHIN_MS
 from pearloom.sip.trunk import REDIAL_DELAY_MS
 from tests.races.harness import CALL, SECOND, Harness, harness, set_up
@@ -127,3 +130,19 @@
         harness.advance_ms(REDIAL_DELAY_MS)
         await_dials(harness)
     assert harness.softswitch.counters.get("dials") <= dials + 4
+
+
+def test_calls_at_a_server_that_resets_new_connections_at_once_are_kept_while_an_old_one_is_open(
+    harness: Harness, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a full server that resets connections, as with a full queue, and looks lost."""
+
+    def connect_and_meet_a_reset(address: tuple[str, int], timeout_s: float) -> DialFailure:
+        return dial_failure(ConnectionResetError(errno.ECONNRESET, "Connection reset by peer"))
+
+    establish(harness, CALL)
+    with monkeypatch.context() as patch:
+        patch.setattr(trunk, "connect", connect_and_meet_a_reset)
+        refuse_until(harness, harness.clock.now_ms() + RELEASE_DUE_MS + STEP_MS)
+    harness.play_steps(("log", "", f"dial_failed server={SERVER}"), ("unseen", "server_lost", ""))
+    assert harness.softswitch.exchange.is_established(CALL)
