Make each guard of refused connections noticed by a test

Cause: of the guards' list two were not noticed when removed: the one on a refusal as a sign of life was removed in another way than the fault had it, and the test on one series of dials began them all at the same moment, where one dial serves all.

--- a/tests/races/test_refused_connections.py
+++ b/tests/races/test_refused_connections.py
@@ -13,7 +13,7 @@
 from pearloom.sip.connecting import DialFailure, dial_failure
 from pearloom.sip.liveness import CONFIRM_WITHIN_MS
 from pearloom.sip.trunk import REDIAL_DELAY_MS
-from tests.races.harness import CALL, SECOND, Harness, harness, set_up
+from tests.races.harness import CALL, SECOND, Harness, harness
 from tests.races.test_outages import (
     RELEASE_DUE_MS,
     SERVER,
@@ -25,6 +25,7 @@
 )
 
 __all__ = ["harness"]
+PHASE_MS = 20.0  # between dials that would begin a series each
 FULL_MS = 5_000.0  # for how long the server refuses connections
 
 
@@ -121,14 +122,14 @@
     harness.stop_listening("s1")
     close_the_old_connection(harness)
     harness.play_steps(("log", "", f"dial_failed server={SERVER} refused=True"))
-    for number in range(10):
-        harness.play_steps(("c1", ">", set_up(f"{number + 16:016x}")))
-    harness.settle()
-    await_dials(harness)
+    for _ in range(10):
+        harness.softswitch.servers._trunks[SERVER].dial()  # as each set-up for this server does
+        await_dials(harness)
+        harness.advance_ms(PHASE_MS)
     dials = harness.softswitch.counters.get("dials")
-    for _ in range(4):
-        harness.advance_ms(REDIAL_DELAY_MS)
+    for _ in range(int(4 * REDIAL_DELAY_MS / PHASE_MS)):
         await_dials(harness)
+        harness.advance_ms(PHASE_MS)
     assert harness.softswitch.counters.get("dials") <= dials + 4
 
 
