Pin the calls of a draining server that refuses the next process of an upgrade

Change: a test in which the previous process alone has a connection, and the server speaks on it each 5 s.

--- a/tests/races/test_refused_connections.py
+++ b/tests/races/test_refused_connections.py
@@ -19,9 +19,12 @@
     SERVER,
     STEP_MS,
     await_dials,
+    drain,
     establish,
     reset_the_old_connection,
     send_bye,
+    speak_on_the_old_connection,
+    upgrade,
 )
 
 __all__ = ["harness"]
@@ -147,3 +150,25 @@
         refuse_until(harness, harness.clock.now_ms() + RELEASE_DUE_MS + STEP_MS)
     harness.play_steps(("log", "", f"dial_failed server={SERVER}"), ("unseen", "server_lost", ""))
     assert harness.softswitch.exchange.is_established(CALL)
+
+
+def test_calls_at_a_draining_server_that_refuses_the_next_process_of_an_upgrade_are_kept(
+    harness: Harness,
+) -> None:
+    """Guards against a process without a connection that takes its refused dial for the server's end.
+
+    The previous process has a connection, and passes on that the server spoke there."""
+    establish(harness, CALL)
+    drain(harness)
+    harness.stop_listening("s1")
+    upgrade(harness)
+    harness.play_steps(("log", "", f"dial_failed server={SERVER} refused=True"))
+    tracker = harness.softswitch.servers.contact_trackers()[SERVER]
+    for _ in range(3):
+        refuse_until(harness, harness.clock.now_ms() + FULL_MS)
+        speak_on_the_old_connection(harness)
+        with gevent.Timeout(5, TimeoutError("the next process does not learn of the message")):
+            while tracker.heard.at_ms < harness.clock.now_ms():
+                gevent.sleep(0.01)
+    assert harness.softswitch.exchange.is_established(CALL)
+    harness.play_steps(("unseen", "server_lost", ""))
