Dial session servers in a class of their own, and read failed dials in one place

Change: Dialler owns the dial in progress and the one due after a failure; ServerLoss.record_failed_dial decides what a failure shows. No behaviour changes; tests patch connect where it is used now, and the guards name the new places.

--- a/pearloom/sip/server_loss.py
+++ b/pearloom/sip/server_loss.py
@@ -7,6 +7,7 @@
 from pearloom.core.connection import RESET_REASONS
 from pearloom.core.logs import log_event
 from pearloom.servers.directory import Directory
+from pearloom.sip.connecting import DialFailureKind
 from pearloom.sip.link import CLOSED_BY_SERVER, ORDERLY_ENDS, Link
 from pearloom.sip.links import Links
 from pearloom.sip.liveness import Liveness
@@ -37,6 +38,20 @@
             )
         liveness.record_connected(opened_ms)
 
+    def record_failed_dial(self, kind: DialFailureKind) -> str | None:
+        """A dial has failed; return the reason for which the server counts as lost now, None if it does not.
+
+        A refused connection proves nothing of the process, which may be full or have ended. One that is never
+        established may be due to a lost packet, so it takes two of them, and a long silence."""
+        now = self._clock.now_ms()
+        if kind is DialFailureKind.REFUSED:
+            self.liveness.record_refused_dial(now, has_connection=bool(self._links))
+            if not self._links and self.liveness.is_overdue(now):
+                return "refused"
+        elif kind is DialFailureKind.UNANSWERED:
+            self.liveness.record_unanswered_dial()
+        return "silent" if self.liveness.is_dead(now) else None
+
     def record_connection_end(self, link: Link, reason: str) -> None:
         """A connection ended, whichever side ended it.
 
--- a/pearloom/sip/trunk.py
+++ b/pearloom/sip/trunk.py
@@ -4,10 +4,10 @@
 
 import logging
 
-import gevent
+from gevent import socket
 
 from pearloom.core.calls import Media, SetUpAttempt
-from pearloom.core.config import Server
+from pearloom.core.config import Address, Server
 from pearloom.core.connection import OutboundMessage
 from pearloom.core.errors import AttemptError, Malformed, Progress
 from pearloom.core.exchange import CAUSE_NORMAL
@@ -19,7 +19,8 @@
 from pearloom.servers.directory import Directory
 from pearloom.sip import codec as sip
 from pearloom.sip import requests
-from pearloom.sip.connecting import DialFailure, DialFailureKind, connect, dial_failure
+from pearloom.sip.connecting import DialFailure, DialFailureKind
+from pearloom.sip.dialler import Dialler
 from pearloom.sip.dialling import DialPolicy
 from pearloom.sip.invites import InviteTransactions
 from pearloom.sip.link import Link, OutboundSetUp
@@ -28,7 +29,6 @@
 from pearloom.sip.server_loss import ServerLoss
 
 MUTE_FROM_MS = 100.0  # a set-up given up after this time with no message since makes its connection mute
-REDIAL_DELAY_MS = 250.0  # after a failed dial to a server that has calls
 BYE_RESEND_MS = 5000.0  # a BYE is sent again if its connection ends unanswered within this time
 
 
@@ -47,14 +47,12 @@
         self._dial_policy = DialPolicy(handshake_price)
         self._directory = directory
         self._exchange = directory.exchange
-        self._dial_timeout_s = dial_timeout_ms / 1000.0
+        self._dialler = Dialler(self, directory, dial_timeout_ms)
         self.name = server.entry.server
         self.server = server
         self._links = Links(idle_ms)
         self._loss = ServerLoss(directory, self.name, self._links)
         self.contact_tracker = self._liveness = self._loss.liveness
-        self.dialling = False
-        self._is_redial_due = False  # guards against several series of dials to a server that refuses them
         self._waiting: list[OutboundMessage] = []
         self._invites = InviteTransactions(directory, self.name, self.release)
         self._byes = RecentValues[OutboundMessage](BYE_RESEND_MS)
@@ -64,6 +62,21 @@
         """May the server get new set-ups?"""
         return self.server.entry.state is PoolState.READY
 
+    @property
+    def dialling(self) -> bool:
+        """Is a connection being opened?"""
+        return self._dialler.is_dialling
+
+    @property
+    def address(self) -> Address:
+        """The server's address, as it is listed now."""
+        return self.server.address
+
+    @property
+    def needs_connection(self) -> bool:
+        """Do established calls, or messages that wait, need a connection?"""
+        return self._exchange.established_at(self.name) > 0 or bool(self._waiting)
+
     @property
     def _expects_message(self) -> bool:
         """Is an answer or a release due from the server?"""
@@ -182,31 +195,16 @@
 
     def dial(self) -> None:
         """Open a connection, unless one is being opened; waiting messages are sent on it."""
-        if not self.dialling:
-            self.dialling = True
-            gevent.spawn(self._dial)
+        self._dialler.dial()
 
-    def _dial(self) -> None:
-        self._directory.counters.add("dials")
+    def on_dial_begun(self) -> None:
+        """Count the messages that wait for a connection as being dialled for."""
         for outbound in self._waiting:
             outbound.progress = Progress.CONNECTING
-        address = self.server.address
-        result = connect(address, self._dial_timeout_s)
-        self.dialling = False
-        if isinstance(result, DialFailure):
-            self._on_dial_failed(result)
-            return
-        if address != self.server.address:
-            # Guards against set-ups at the old address of a server that has moved meanwhile.
-            result.close()
-            self.dial()
-            return
-        try:
-            link = Link(self, result, self._directory.clock.now_ms())
-        except OSError as error:  # reset at once
-            result.close()
-            self._on_dial_failed(dial_failure(error))
-            return
+
+    def on_connected(self, sock: socket.socket) -> None:
+        """Send what waits on an established connection; raises OSError if it is broken already."""
+        link = Link(self, sock, self.now_ms)
         self._loss.record_connected(link.opened_ms)
         self._links.add(link)
         link.connection.start()
@@ -215,7 +213,8 @@
             if not outbound.withdrawn:
                 self._send(outbound)
 
-    def _on_dial_failed(self, failure: DialFailure) -> None:
+    def on_dial_failed(self, failure: DialFailure) -> None:
+        """End the set-ups that waited, and decide what the failure shows of the server."""
         is_refused = failure.kind is DialFailureKind.REFUSED
         log_event(logging.INFO, "dial_failed", server=self.name, refused=is_refused, reason=failure.reason)
         waiting, self._waiting = self._waiting, []
@@ -225,27 +224,12 @@
                     self._invites.end(outbound, AttemptError(Progress.CONNECTING, failure.reason))
             else:
                 self._waiting.append(outbound)
-        now = self.now_ms
-        if is_refused:
-            self._liveness.record_refused_dial(now, has_connection=bool(self._links))
-        elif failure.kind is DialFailureKind.UNANSWERED:
-            self._liveness.record_unanswered_dial()
-        if is_refused and self._links and not self.is_ready:
-            return  # a draining server accepts no more connections; its calls go on
-        # A refused connection proves nothing of the process, which may be full or have ended. One that is
-        # never established may be due to a lost packet, so it takes two of them, and a long silence.
-        if is_refused and not self._links and self._liveness.is_overdue(now):
-            self._on_lost("refused")
-        elif self._liveness.is_dead(now):
-            self._on_lost("silent")
-        elif not self._is_redial_due:
-            self._is_redial_due = True
-            self._directory.exchange.after_ms(REDIAL_DELAY_MS, self._redial)
-
-    def _redial(self) -> None:
-        self._is_redial_due = False
-        if self._exchange.established_at(self.name) or self._waiting:
-            self.dial()
+        lost_reason = self._loss.record_failed_dial(failure.kind)
+        if lost_reason is not None:
+            self._on_lost(lost_reason)
+        elif self.is_ready or not (is_refused and self._links):
+            # A draining server that refuses connections is dialled again by `watch` alone.
+            self._dialler.dial_later()
 
     def _on_lost(self, reason: str) -> None:
         """The server is dead, cut off, or replaced: release its calls and close its connections."""
@@ -280,7 +264,7 @@
             self._dial_for_releases()
             return
         self._waiting += [outbound for outbound in resent if outbound not in self._waiting]
-        if self._exchange.established_at(self.name) or self._waiting:
+        if self.needs_connection:
             if not self.is_ready and self._directory.successor_of(self) is not None:
                 # The process that now has this address is not the one that had the calls.
                 self._hand_over_calls()
--- a/tests/races/harness.py
+++ b/tests/races/harness.py
@@ -11,7 +11,7 @@
 from gevent import socket
 from gevent.event import Event
 
-from pearloom.sip import connecting, trunk
+from pearloom.sip import connecting, dialler
 from tests.player import Player
 
 CALL, SECOND = "9b1f03aa5c7e2d41", "1111111111111111"
@@ -91,7 +91,7 @@
         return connect(address, timeout_s)
 
     with monkeypatch.context() as patch:
-        patch.setattr(trunk, "connect", blocked)
+        patch.setattr(dialler, "connect", blocked)
         yield unblocked
         unblocked.set()
 
--- a/tests/races/test_outages.py
+++ b/tests/races/test_outages.py
@@ -9,8 +9,8 @@
 import pytest
 from gevent import socket
 
+from pearloom.sip.dialler import REDIAL_DELAY_MS
 from pearloom.sip.liveness import CONFIRM_WITHIN_MS, OUTAGE_DIALS, SILENT_MS
-from pearloom.sip.trunk import REDIAL_DELAY_MS
 from tests.player import encode
 from tests.races.harness import CALL, OPTIONS, SECOND, Harness, harness, set_up
 
--- a/tests/races/test_refused_connections.py
+++ b/tests/races/test_refused_connections.py
@@ -9,10 +9,10 @@
 import pytest
 from gevent import socket
 
-from pearloom.sip import trunk
+from pearloom.sip import dialler
 from pearloom.sip.connecting import DialFailure, dial_failure
+from pearloom.sip.dialler import REDIAL_DELAY_MS
 from pearloom.sip.liveness import CONFIRM_WITHIN_MS
-from pearloom.sip.trunk import REDIAL_DELAY_MS
 from tests.races.harness import CALL, SECOND, Harness, harness
 from tests.races.test_outages import (
     RELEASE_DUE_MS,
@@ -146,7 +146,7 @@
 
     establish(harness, CALL)
     with monkeypatch.context() as patch:
-        patch.setattr(trunk, "connect", connect_and_meet_a_reset)
+        patch.setattr(dialler, "connect", connect_and_meet_a_reset)
         refuse_until(harness, harness.clock.now_ms() + RELEASE_DUE_MS + STEP_MS)
     harness.play_steps(("log", "", f"dial_failed server={SERVER}"), ("unseen", "server_lost", ""))
     assert harness.softswitch.exchange.is_established(CALL)
--- a/tests/races/test_silent_connections.py
+++ b/tests/races/test_silent_connections.py
@@ -5,7 +5,7 @@
 import pytest
 from gevent import select
 
-from pearloom.sip.trunk import REDIAL_DELAY_MS
+from pearloom.sip.dialler import REDIAL_DELAY_MS
 from tests.races.harness import CALL, OPTIONS, SECOND, Harness, harness, set_up
 from tests.races.test_outages import RELEASE_DUE_MS, SERVER, await_dials, establish, send_bye
 
