Close the connection that was silent for longest when there are too many

Need: with another connection opened for a silent one, the eighth and later ones close one without set-ups; it was the oldest, which may be the one that speaks.

Change: the one that was silent for longest is closed.

Measured: tests/races and the guards' list pass.

--- a/pearloom/sip/links.py
+++ b/pearloom/sip/links.py
@@ -69,10 +69,10 @@
         return mute is not None
 
     def close_spare(self) -> None:
-        """If there are too many connections, close one without set-ups."""
-        unused = next((link for link in self._links if not link.unanswered), None)
-        if len(self._links) >= MAX_LINKS and unused is not None:
-            unused.connection.close(SPARE)
+        """If there are too many connections, close the one that was silent for longest, without set-ups."""
+        unused = [link for link in self._links if not link.unanswered]
+        if len(self._links) >= MAX_LINKS and unused:
+            min(unused, key=lambda link: link.last_message_ms).connection.close(SPARE)
 
     def discard_call(self, call: str) -> None:
         """Forget a call that has ended."""
