Take up a move of the coordinator once, also where no descriptor is free

What callers would see: SIGHUP names another coordinator while no descriptor is free, and the program answers nobody any more.

Cause: the mark of the move was taken back after the socket was made; without a descriptor the loop took the move up again at once and let no other greenlet run. Found by reading.

Test: test_coordinator.py, a move without a free descriptor: without the change it did not end and was killed after 40 s; passes.

--- a/pearloom/servers/coordinator.py
+++ b/pearloom/servers/coordinator.py
@@ -178,11 +178,12 @@
 
     def _open_stream(self) -> None:
         """Open another connection. Those before it are kept: what is on its way there may only be late."""
+        # Guards against a busy loop: without a free descriptor a move would be taken up again and again.
+        self._moved = False
+        self._changed.clear()
         if len(self._streams) >= MAX_STREAMS:
             self._streams.pop(0).abandon()
         stream = _Stream(self._address, self.index, self._zones)
-        self._moved = False
-        self._changed.clear()
         self._streams.append(stream)
         gevent.spawn(self._read, stream)
 
--- a/tests/races/test_coordinator.py
+++ b/tests/races/test_coordinator.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import errno
+
 import gevent
 import pytest
+from gevent import socket as gevent_socket
 
 from pearloom.servers import coordinator
 from tests.player import encode
@@ -62,6 +65,22 @@
     harness.play_steps(("stream 0", "closed", ""))
 
 
+def test_a_move_without_a_free_descriptor_is_taken_up_once_there_is_one(
+    harness: Harness, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a busy loop, in which nothing else runs, from a move until a descriptor is free."""
+
+    def fail_without_descriptor(*arguments: int) -> None:
+        raise OSError(errno.EMFILE, "Too many open files")
+
+    harness.play_steps(("co", "opens", ""), ("co", "<", REQUEST_FROM_1))
+    with monkeypatch.context() as patch:
+        patch.setattr(gevent_socket, "socket", fail_without_descriptor)
+        harness.step("sighup", "cp", "")
+        harness.play_steps(("log", "", "coordinator_lost"))
+    harness.play_steps(("cp", "opens", ""), ("cp", "<", REQUEST_FROM_1))
+
+
 def test_a_frame_cut_by_a_move_of_the_coordinator_is_requested_again(harness: Harness) -> None:
     harness.play_steps(("co", "opens", ""), ("co", "<", REQUEST_FROM_1))
     frame = encode(harness.substitute(f"[0000000000000002 {DRAINING_1}]"))
